--- /dev/null
+++ b/limeridge/__init__.py
@@ -0,0 +1,1 @@
+"""limeridge decides, inside each server of a fleet, what it takes, runs and turns away."""
--- /dev/null
+++ b/limeridge/brain.py
@@ -0,0 +1,622 @@
+"""The decisions of one instance: what it takes, runs and turns away.  Types: limeridge/interface.py.
+
+A host makes one Brain for each instance from a plain map of settings (docs/design.md lists the names), a
+seed and the clock, and never shares one.  Inputs (`arrived`, `ended`, `needs_call`, `call_ended`,
+`caller_gone`, `leave`, `woke`) only update what is known.  After each round of inputs the host pulls
+`decide()` until it gives None and carries the decisions out in that order.  Times are whole microseconds.
+
+The ordinary path is the approach ladder and the hold rule of docs/design.md; what else stands here keeps
+the four rules (no txn lost, no effect twice, safe drain, no fall-over) or says in a comment what it is for.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
+
+WINDOW = 20  # runs whose worst is an approach's cost
+TIME_LIMIT = 0.8  # of the SLA time
+REACTIVATION = 0.5  # of time_limit
+MAX_RUNGS = 4
+TARGET = 0.12  # hold target, of the SLA time
+INTERVAL = 0.15  # of the SLA time
+TICK = 50_000  # the one pending wake-up comes at most this much later
+SPEAK = 250_000  # the published value moves at most this often
+FULL_CORES = 0.93  # busy share at which cores count as near full
+CROWDED = 1.3  # asking for a core, per core: above it the running cap shrinks
+CROWD_SHARE = 0.8  # of the crowd that the server survives
+MEMORY_SHARE = 0.92
+CALL_SHARE = 0.9  # of the own share of calls below
+CALL_WAITERS = 2.0  # a core
+STOP_MARGIN = 200_000  # before the process is killed
+EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
+INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+
+class Histogram:
+    """Shares of a whole, in coarse bins; halved when full so that old days fade."""
+
+    def __init__(self, keep: int) -> None:
+        self.counts = [0.0] * (len(EDGES) + 1)
+        self.total, self.keep = 0.0, keep
+
+    def add(self, share: float) -> None:
+        self.counts[next((i for i, edge in enumerate(EDGES) if share <= edge), len(EDGES))] += 1
+        self.total += 1
+        if self.total >= self.keep:
+            self.counts = [count / 2 for count in self.counts]
+            self.total /= 2
+
+    def quantile(self, q: float) -> float:
+        seen, below = 0.0, 0.0
+        for count, edge in zip(self.counts, (*EDGES, 2 * EDGES[-1]), strict=True):
+            if count and seen + count >= q * self.total:
+                return below + (edge - below) * (q * self.total - seen) / count
+            seen, below = seen + count, edge
+        return 0.0
+
+
+class Approach:
+    """One rung: a run that leaves out as many optional calls as rungs stand above it."""
+
+    def __init__(self) -> None:
+        self.active = True
+        self.costs: deque[int] = deque(maxlen=WINDOW)
+
+    @property
+    def cost(self) -> int:
+        return max(self.costs, default=0)
+
+
+class Product:
+    """What is known of one product: its terms, its ladder, its line in the hold."""
+
+    def __init__(self, settings: Mapping[str, Any], number: int) -> None:
+        def term(name: str, default: Any) -> Any:
+            return settings.get(f"products.{number}.{name}", default)
+
+        def of_list(name: str, default: Any) -> Any:
+            values = settings.get(name) or ()
+            return values[number] if number < len(values) else default
+
+        self.number = number
+        self.sla_time: int = term("sla_time", 0) or term("expiry", 0) or 1_000_000
+        self.expiry: int = term("expiry", 0) or self.sla_time
+        self.value: float = term("value", 1.0)
+        # A kind that is not told gets the most careful reading: it must not run twice.
+        self.kind: str = term("kind", ONCE_ONLY)
+        self.window: int = term("window", 0)
+        self.skip_value: float = of_list("instance.skip_values", 0.0)
+        self.calls: bool = of_list("instance.product_calls", True)
+        self.time_limit = int(TIME_LIMIT * self.sla_time)
+        self.ladder = [Approach()]
+        if self.skip_value > 0:
+            self.ladder.append(Approach())
+        self.run_times, self.answer_ages = Histogram(32), Histogram(32)
+        self.lines: tuple[deque[Txn], deque[Txn]] = (deque(), deque())  # within share, over it
+        self.above_since: list[int | None] = [None, None]
+        self.asked, self.settled = 0.0, 0.0
+
+    def choose(self, strained: bool) -> int:
+        if not strained:
+            return 0
+        return next(i for i, approach in enumerate(self.ladder) if approach.active)
+
+    def report(self, txn: Txn, elapsed: int) -> None:
+        """The paper's switch, after each run."""
+        approach = self.ladder[txn.approach]
+        approach.costs.append(elapsed)
+        if approach.cost > self.time_limit:
+            if txn.approach < len(self.ladder) - 1:
+                approach.active = False
+        elif approach.cost < REACTIVATION * self.time_limit:
+            heavier = [a for a in self.ladder[: txn.approach] if not a.active]
+            if heavier:
+                heavier[-1].active = True
+                heavier[-1].costs.clear()
+
+
+class Brain:
+    """One instance's decisions."""
+
+    def __init__(self, settings: Mapping[str, Any], seed: int, now: int) -> None:
+        self.settings, self.now, self.born = settings, now, now
+        self.chance = random.Random(seed)
+        self.products = [Product(settings, i) for i in range(settings.get("products.count", 0))]
+        self.cores: int = settings.get("instance.cores", 1)
+        self.cap = float(self.cores)
+        self.counts = dict.fromkeys(Stage, 0)
+        self.memory = 0.0
+        self.keys: list[tuple[int, int, Txn]] = []
+        self.kept = 0
+        self.dues: list[tuple[int, int, Txn]] = []
+        self.parked: deque[Txn] = deque()
+        self.repeats: deque[Txn] = deque()
+        self.doomed: deque[Txn] = deque()
+        self.abandoned: deque[tuple[int, int]] = deque()  # calls left behind: until when they linger
+        self.past_calls: deque[tuple[int, int]] = deque()  # begin and end of finished ones
+        self.calling: dict[int, Txn] = {}
+        self.patience: dict[tuple[int, int], int] = {}
+        self.buckets: dict[int, tuple[float, int]] = {}
+        self.serial = 0
+        self.wake_at: int | None = None
+        self.busy, self.runnable = 0.0, 0.0
+        self.gauge_new = False
+        self.leave_at: int | None = None
+        self.stop_at: int | None = None
+        self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
+        self.said: float | None = None
+        self.speak_at, self.turned_away = now, 0
+        self.healthy: bool | None = None
+        self.call_best, self.call_cap = 0, max(1.0, 0.5 * self._calls_share())
+        self.stream: Iterator[Decision] | None = None
+
+    # ---- inputs: bookkeeping only
+
+    def arrived(self, now: int, ref: int, product: int, customer: int = 0, caller: int = 0, patience: int = 0,
+                age: int = 0, size_kb: float = 0.0, resent: bool = False, prior: Txn | None = None,
+                repeat: bool = False) -> Txn:
+        self.now = now
+        kind = self.products[product]
+        landed = now - age
+        # Where the wait should come with the txn and does not, nothing is left of it.
+        told = patience > 0 or self.settings.get("instance.passes_expiry")
+        due = now + patience if told else max(now, landed + kind.expiry)
+        txn = Txn(ref, product, customer, caller, size_kb, landed, due, landed + kind.sla_time,
+                  resent, prior, repeat)
+        self._date_back(txn, kind, due - landed)
+        txn.remembered_until = landed + kind.window
+        txn.over_share = self._over_share(txn)
+        self.counts[Stage.HELD] += 1
+        self.memory += size_kb
+        self.serial += 1
+        heapq.heappush(self.dues, (due, self.serial, txn))
+        kind.asked += 1
+        if kind.asked > 256:
+            kind.asked, kind.settled = kind.asked / 2, kind.settled / 2
+        if self.leave_at is not None and landed > self.leave_at + self.settings.get("rules.drain_grace", 0):
+            self.doomed.append(txn)
+        elif kind.kind == REFERENCED:
+            self.repeats.append(txn)
+        else:
+            kind.lines[txn.over_share].append(txn)
+        return txn
+
+    def ended(self, now: int, txn: Txn, outcome: Outcome, spent: int) -> None:
+        self.now = now
+        if txn.stage == Stage.OVER:
+            return
+        kind = self.products[txn.product]
+        if outcome != Outcome.MOOT and txn.stage not in (Stage.JOINED, Stage.HELD):
+            elapsed = now - txn.started
+            kind.report(txn, elapsed)
+            if outcome == Outcome.OK:
+                kind.run_times.add(elapsed / kind.sla_time)
+                kind.answer_ages.add((now - txn.arrived) / kind.sla_time)
+        if outcome == Outcome.OK:
+            txn.settled = True
+            if not txn.answered and now <= txn.sla_due:
+                kind.settled += 1
+        self._over(txn)
+
+    def needs_call(self, now: int, txn: Txn) -> None:
+        self.now = now
+        if txn.stage == Stage.RUNNING:
+            self._park(txn)
+
+    def call_ended(self, now: int, txn: Txn, outcome: Outcome, spent: int) -> None:
+        self.now = now
+        if txn.stage != Stage.CALLING:
+            return
+        kind = self.products[txn.product]
+        self._call_over(txn, linger=outcome in (Outcome.TIMEOUT, Outcome.RESET))
+        if outcome == Outcome.OK:
+            self._move(txn, Stage.RUNNING)
+            self.call_best = min(self.call_best or spent, spent) + self.call_best // 200
+            self._tune_calls(spent > 3 * self.call_best)
+        else:
+            txn.failed_as = outcome
+            # Rule 2: a call that may have taken effect is made again for inquiry-like txns alone.
+            txn.may_repeat_call = kind.kind == INQUIRY or outcome in NEVER_RAN
+            self._tune_calls(True)
+            self._park(txn)
+
+    def caller_gone(self, now: int, txn: Txn) -> None:
+        self.now = now
+        if txn.stage == Stage.OVER:
+            return
+        txn.answered = True
+        if txn.stage in (Stage.HELD, Stage.JOINED):
+            self._over(txn)
+
+    def leave(self, now: int, budget: int) -> None:
+        self.now = now
+        if self.leave_at is None:
+            self.leave_at = now
+        self.stop_at = now + budget
+        self.speak_at = now
+
+    def woke(self, now: int, ref: int, gauges: Mapping[str, float]) -> None:
+        self.now = now
+        self.wake_at = None
+        self.busy = gauges.get("busy", self.busy)
+        self.runnable = gauges.get("runnable", self.runnable)
+        self.gauge_new = True
+
+    # ---- decisions
+
+    def decide(self) -> Decision | None:
+        if self.stream is None:
+            self.stream = self._decisions()
+        decision = next(self.stream, None)
+        if decision is None:
+            self.stream = None
+        return decision
+
+    def _decisions(self) -> Iterator[Decision]:
+        now = self.now
+        healthy = self.leave_at is None
+        if healthy != self.healthy:
+            self.healthy = healthy
+            yield Decision(Verb.FITNESS, flag=healthy)
+        self._expire()
+        yield from self._answer_due()
+        while self.doomed:
+            yield from self._turn_away(self.doomed.popleft())
+        yield from self._join_repeats()
+        yield from self._trim_hold()
+        if self.gauge_new:
+            self.gauge_new = False
+            self._size_cap()
+        yield from self._feed_calls()
+        yield from self._run_held()
+        if now >= self.speak_at:
+            yield from self._speak()
+        if self.wake_at is None and (self.dues or self.leave_at is not None or self.welcome < 1):
+            self.wake_at = now + TICK
+            yield Decision(Verb.WAKE, us=self.wake_at)
+
+    def _answer_due(self) -> Iterator[Decision]:
+        """Rule 1, and before the stop rule 3: running work is no excuse. The next look comes a TICK later."""
+        horizon = self.now + TICK + self.settings.get("round", 0)
+        stopping = self.stop_at is not None and horizon >= self.stop_at - STOP_MARGIN
+        while self.dues and (stopping or self.dues[0][0] <= horizon or self.dues[0][2].answered
+                             or self.dues[0][2].stage == Stage.OVER):
+            txn = heapq.heappop(self.dues)[2]
+            if not txn.answered and txn.stage != Stage.OVER:
+                yield from self._turn_away(txn)
+
+    def _turn_away(self, txn: Txn, elsewhere: bool = False) -> Iterator[Decision]:
+        """The final answer of a txn that is given up; it goes out at once."""
+        kind = self.products[txn.product]
+        if txn.answered or txn.stage == Stage.OVER:
+            return
+        running = txn.stage in (Stage.RUNNING, Stage.PARKED, Stage.CALLING)
+        txn.answered = True
+        self.turned_away += 1
+        # Rule 2: what has run, or joined what has, may have taken effect; never say that it never ran.
+        if kind.kind != INQUIRY and (txn.ran or txn.stage == Stage.JOINED or self._prior_ran(txn)):
+            yield Decision(Verb.VOID, txn)
+        else:
+            most = self.settings.get("limits.come_back_after", 0) if self.settings.get("limits.advice") else 0
+            yield Decision(Verb.DECLINE, txn, us=most, flag=not elsewhere)
+        if txn.kept and not txn.ran:
+            txn.kept = False
+            self.kept -= 1
+            yield Decision(Verb.FORGET, txn)
+        if not running:
+            self._over(txn)
+        elif kind.kind == INQUIRY and txn.stage == Stage.RUNNING and self._may_halt():
+            yield Decision(Verb.HALT, txn)  # answered first, so it is finished: core and memory are free
+
+    def _join_repeats(self) -> Iterator[Decision]:
+        """Rule 2 for referenced txns: one run in a window, repeats share its result or wait to see it run."""
+        for _ in range(len(self.repeats)):
+            txn = self.repeats.popleft()
+            if txn.stage != Stage.HELD:
+                continue
+            prior = txn.prior
+            if prior is not None and prior.stage == Stage.HELD and not prior.answered:
+                self.repeats.append(txn)
+            elif prior is not None and (prior.ran or prior.stage == Stage.JOINED):
+                if prior.settled or prior.stage != Stage.OVER:
+                    txn.ran = True
+                    self._move(txn, Stage.JOINED)
+                    yield Decision(Verb.ATTACH, txn)
+                else:
+                    yield from self._turn_away(txn)
+            elif prior is None and txn.repeat:
+                txn.ran = True  # its first try is not known here any more, so it may have run
+                yield from self._turn_away(txn)
+            else:
+                # Kept from the reading on: a repeat that comes while this one is held must be known.
+                life = txn.remembered_until - self.now + self.settings.get("round", 0)
+                room = self._room() - self.settings.get("instance.kb_per_key", 0.0)
+                if life > 0 and room < 0:
+                    yield from self._turn_away(txn, elsewhere=True)
+                    continue
+                if life > 0:
+                    self._keep(txn, life)
+                    yield Decision(Verb.MEMO, txn, us=life)
+                self.products[txn.product].lines[txn.over_share].append(txn)
+
+    def _trim_hold(self) -> Iterator[Decision]:
+        """The hold rule: what waits past the target over an interval goes, from the front."""
+        now = self.now
+        for kind in self.products:
+            target, interval = int(TARGET * kind.sla_time), int(INTERVAL * kind.sla_time)
+            need = int(kind.run_times.quantile(0.5) * kind.sla_time)
+            for over, line in enumerate(kind.lines):
+                while line:
+                    txn = line[0]
+                    if txn.stage != Stage.HELD:
+                        line.popleft()
+                        continue
+                    if now - txn.arrived <= target:
+                        kind.above_since[over] = None
+                    elif kind.above_since[over] is None:
+                        kind.above_since[over] = now
+                    since = kind.above_since[over]
+                    # Not worth running: it can't make its SLA time. A few still run, to see a slow spell end.
+                    late = now + need > self._useful_until(txn) and self._on_cores() >= self.cores // 3
+                    if late or now > txn.sla_due or (since is not None and now - since >= interval):
+                        line.popleft()
+                        yield from self._turn_away(txn)
+                    else:
+                        break
+                if not line:
+                    kind.above_since[over] = None
+        # Rule 4, memory: the hold itself must fit, whatever is read.
+        while self._room() < 0 and (least := self._least_wanted()) is not None:
+            txn = least.pop()
+            if txn.stage == Stage.HELD:
+                yield from self._turn_away(txn)
+
+    def _feed_calls(self) -> Iterator[Decision]:
+        """Call waiters: their own bound, apart from the running cap."""
+        for needed in (True, False):  # calls that can't be left out go first
+            for _ in range(len(self.parked)):
+                txn = self.parked.popleft()
+                kind = self.products[txn.product]
+                if txn.stage != Stage.PARKED or txn.answered:
+                    continue
+                if (kind.skip_value > 0) == needed:
+                    self.parked.append(txn)
+                    continue
+                waited = self.now - txn.call_since
+                # A run that meets trouble below mid-way leaves the call out too, against piling up there.
+                stuck = txn.failed_as is not None or waited > TARGET * kind.sla_time
+                planned = txn.left_out < txn.approach
+                if kind.skip_value > 0 and (planned or stuck):
+                    txn.left_out += 1
+                    txn.failed_as = None
+                    self._move(txn, Stage.RUNNING)
+                    yield Decision(Verb.SKIP, txn)
+                elif self.now > txn.sla_due or not txn.may_repeat_call:
+                    yield from self._turn_away(txn)
+                elif (time_out := self._call_room(txn, kind)) > 0:
+                    txn.calls_made += 1
+                    txn.failed_as = None
+                    txn.call_ends = self.now + time_out
+                    self._move(txn, Stage.CALLING)
+                    txn.call_since = self.now
+                    self.calling[txn.ref] = txn
+                    yield Decision(Verb.CALL, txn, us=time_out)
+                else:
+                    self.parked.append(txn)
+
+    def _run_held(self) -> Iterator[Decision]:
+        strained = self.strained()
+        limit = CROWD_SHARE * self._crowd()
+        waiters = int(CALL_WAITERS * self.cores)
+        while self._on_cores() < int(self.cap) and self._in_runs() + 1 <= limit:
+            crowded = self._in_runs() - self._on_cores() >= waiters
+            line = self._most_wanted(crowded)
+            if line is None:
+                return
+            txn = line.popleft()
+            if txn.stage != Stage.HELD:
+                continue
+            if self._room() < txn.size_kb * (self.settings.get("instance.run_factor", 1.0) - 1):
+                line.appendleft(txn)
+                return
+            kind = self.products[txn.product]
+            txn.approach = kind.choose(strained)
+            txn.ran, txn.started = True, self.now
+            self._move(txn, Stage.RUNNING)
+            yield Decision(Verb.RUN, txn)
+
+    def _speak(self) -> Iterator[Decision]:
+        """The free value: callers that heed it stay away before they cost a reading."""
+        self.speak_at = self.now + SPEAK
+        standing = any(s is not None for kind in self.products for s in kind.above_since)
+        if self.turned_away:
+            self.welcome *= 0.8
+        elif not standing:
+            self.welcome = min(1.0, self.welcome * 1.1)
+        self.welcome = max(0.01, self.welcome)
+        self.turned_away = 0
+        how = self.settings.get("instance.say", "none")
+        level = 0.0 if self.leave_at is not None else self.welcome
+        if how == "allowance":
+            level *= 6.0 * self.cores / max(1, self.settings.get("instance.callers", 1))
+        elif how == "floor":
+            level = min(0.99, 1.0 - level)
+        elif how != "weight":
+            return
+        if self.said is None or abs(level - self.said) > 0.02 * self.said:
+            self.said = level
+            yield Decision(Verb.PUBLISH, level=level)
+
+    # ---- what the decisions weigh
+
+    def strained(self) -> bool:
+        """Deactivation binds only then; else the full run."""
+        return (self.busy >= FULL_CORES
+                or any(s is not None for kind in self.products for s in kind.above_since)
+                or any(kind.answer_ages.quantile(0.9) > TIME_LIMIT for kind in self.products))
+
+    def _size_cap(self) -> None:
+        if self.runnable > CROWDED * self.cores:
+            self.cap = max(self.cores, self.cap - 1)
+        elif self.busy < FULL_CORES and any(line for kind in self.products for line in kind.lines):
+            self.cap = min(self.cap * 1.1 + 0.5, CROWD_SHARE * self._crowd())
+
+    def _crowd(self) -> float:
+        """Rule 4: the crowd survived, at the lowest speed that a cold start can have by now."""
+        speed = 1.0
+        if self.settings.get("instance.cold", True):
+            ramp = max(1, self.settings.get("rules.ramp_time", 30_000_000))
+            begin = self.settings.get("rules.cold_from", 0.1)
+            speed = min(1.0, begin + (1 - begin) * (self.now - self.born) / ramp)
+        return float((1 + (self.settings.get("rules.overload_factor", 2.0) - 1) * speed) * self.cores)
+
+    def _room(self) -> float:
+        share = MEMORY_SHARE * self.settings.get("instance.memory_kb", 1e9)
+        return float(share - self.memory - self.kept * self.settings.get("instance.kb_per_key", 0.0))
+
+    def _calls_share(self) -> float:
+        return float(self.settings.get("instance.calls_out", 0.5))
+
+    def _call_room(self, txn: Txn, kind: Product) -> int:
+        """Rule 4 below: the own share of calls, lingering ones included. 0 = no room, else a time-out."""
+        time_out = max(TICK, min(txn.sla_due, txn.due) - self.now)
+        linger = self.settings.get("instance.linger", 200_000)
+        share = CALL_SHARE * self._calls_share()
+        in_hand = len(self.calling) + len(self.abandoned)
+        if in_hand + 1 <= share:
+            return time_out if in_hand + 1 <= max(1.0, self.call_cap) else 0
+        # A share under one call: the mean over the window must still hold if every call runs to its time-out.
+        span = self.settings.get("instance.calls_over", 5_000_000)
+        start = self.now - span
+        area = sum(end - max(begin, start) for begin, end in self.past_calls if end > start)
+        area += sum(c.call_ends + linger - max(c.call_since, start) for c in self.calling.values())
+        area += sum(end - max(begin, start) for begin, end in self.abandoned)
+        spare = int(share * span - area - linger)
+        return min(time_out, spare) if share < 2 and spare >= TICK else 0
+
+    def _tune_calls(self, slow: bool) -> None:
+        top = self._calls_share()
+        self.call_cap = max(1.0, self.call_cap * 0.95) if slow else min(top, self.call_cap + 0.1)
+
+    def _useful_until(self, txn: Txn) -> int:
+        until = min(txn.sla_due, txn.due)
+        return until if self.stop_at is None else min(until, self.stop_at - STOP_MARGIN)
+
+    def _over_share(self, txn: Txn) -> bool:
+        """Traffic beyond a customer's share is worth little and is not marked: an own count of it, this
+        instance's part of the quota, tells."""
+        quota = self.settings.get(f"customers.{txn.customer}.quota_per_s")
+        if not quota or txn.resent:
+            return False
+        rate = quota / max(1, self.settings.get("group_size", 1))
+        level, since = self.buckets.get(txn.customer, (2 * rate, self.now))
+        level = min(2 * rate, level + rate * (self.now - since) / 1_000_000)
+        self.buckets[txn.customer] = (level - 1 if level >= 1 else level, self.now)
+        return bool(level < 1)
+
+    def _date_back(self, txn: Txn, kind: Product, patience: int) -> None:
+        """A later try's age is not told, but patience that is short of its caller's usual tells it."""
+        key = (txn.caller, txn.product)
+        usual = self.patience[key] = max(patience, self.patience.get(key, 0))
+        if patience < usual - 50_000 or usual > kind.expiry - 50_000:
+            txn.sla_due -= max(0, kind.expiry - patience)
+
+    def _weigh(self, kind: Product, over: int) -> float:
+        """What a core's time is worth to the site's goal if this line gets it."""
+        work = max(0.02, kind.run_times.quantile(0.5)) * kind.sla_time / 1e6
+        by_work = self.settings.get("value_by") == "work"
+        total = sum(k.value * k.asked * (self._work(k) if by_work else 1.0) for k in self.products) or 1.0
+        ratios = [(k.settled + 1) / (k.asked + 1) for k in self.products]
+        goal = self.settings.get
+        value = kind.value * (work if by_work else 1.0)
+        weight = (goal("goal.whole", 1.0) + goal("goal.worst_window", 0.0)) * value / total
+        if ratios[kind.number] <= min(ratios) + 0.02:
+            weight += goal("goal.worst_product", 0.0) / max(1.0, kind.asked)
+        if over:
+            weight *= self.settings.get("over_share_value", 1.0)
+        return float(weight / work)
+
+    def _work(self, kind: Product) -> float:
+        return max(0.02, kind.run_times.quantile(0.5)) * kind.sla_time / 1e6
+
+    def _most_wanted(self, crowded: bool) -> deque[Txn] | None:
+        best, best_weight = None, -1.0
+        for kind in self.products:
+            if crowded and kind.calls:
+                continue
+            for over, line in enumerate(kind.lines):
+                if line and (weight := self._weigh(kind, over)) > best_weight:
+                    best, best_weight = line, weight
+        return best
+
+    def _least_wanted(self) -> deque[Txn] | None:
+        lines = [(self._weigh(kind, over), kind.number, over) for kind in self.products
+                 for over, line in enumerate(kind.lines) if line]
+        return self.products[min(lines)[1]].lines[min(lines)[2]] if lines else None
+
+    def _prior_ran(self, txn: Txn) -> bool:
+        return txn.repeat and (txn.prior is None or txn.prior.ran or txn.prior.stage == Stage.JOINED)
+
+    def _may_halt(self) -> bool:
+        return self.settings.get("instance.preemption", "none") in ("discard", "freeze")
+
+    # ---- counts
+
+    def _on_cores(self) -> int:
+        return self.counts[Stage.RUNNING]
+
+    def _in_runs(self) -> int:
+        return self.counts[Stage.RUNNING] + self.counts[Stage.PARKED] + self.counts[Stage.CALLING]
+
+    def _move(self, txn: Txn, stage: Stage) -> None:
+        weight = {Stage.HELD: 1.0, Stage.JOINED: 1.0, Stage.OVER: 0.0}
+        running = self.settings.get("instance.run_factor", 1.0)
+        self.memory += txn.size_kb * (weight.get(stage, running) - weight.get(txn.stage, running))
+        self.counts[txn.stage] -= 1
+        self.counts[stage] += 1
+        txn.stage = stage
+
+    def _park(self, txn: Txn) -> None:
+        self._move(txn, Stage.PARKED)
+        txn.call_since = self.now
+        kind = self.products[txn.product]
+        if kind.skip_value > 0 and txn.calls_made + txn.left_out >= len(kind.ladder) - 1 < MAX_RUNGS:
+            kind.ladder.append(Approach())
+        self.parked.append(txn)
+
+    def _call_over(self, txn: Txn, linger: bool) -> None:
+        self.calling.pop(txn.ref, None)
+        if linger:
+            self.abandoned.append((txn.call_since, self.now + self.settings.get("instance.linger", 200_000)))
+        else:
+            self.past_calls.append((txn.call_since, self.now))
+
+    def _over(self, txn: Txn) -> None:
+        if txn.stage == Stage.CALLING:
+            self._call_over(txn, linger=True)
+        self._move(txn, Stage.OVER)
+        txn.prior = None
+
+    def _keep(self, txn: Txn, life: int) -> None:
+        txn.kept, txn.remembered_until = True, self.now + life
+        self.kept += 1
+        self.serial += 1
+        heapq.heappush(self.keys, (txn.remembered_until, self.serial, txn))
+
+    def _expire(self) -> None:
+        start = self.now - self.settings.get("instance.calls_over", 5_000_000)
+        while self.keys and self.keys[0][0] <= self.now:
+            txn = heapq.heappop(self.keys)[2]
+            self.kept -= txn.kept
+            txn.kept = False
+        while self.abandoned and self.abandoned[0][1] <= self.now:
+            self.past_calls.append(self.abandoned.popleft())
+        while self.past_calls and self.past_calls[0][1] <= start:
+            self.past_calls.popleft()
--- /dev/null
+++ b/limeridge/interface.py
@@ -0,0 +1,97 @@
+"""The types that the decision module and its hosts share; no decision and no tuned value stands here.
+
+A host makes one `Brain` (see `limeridge.brain`) for each instance, tells it what happened through the
+brain's input methods, and then pulls decisions with `decide()` until that returns None.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+
+
+class Verb(Enum):
+    """What a decision asks the host to do."""
+
+    RUN = "run"  # start a held txn
+    DECLINE = "decline"  # final answer: turned away; `us` = come back after, `flag` = not elsewhere either
+    VOID = "void"  # final answer: failed
+    HALT = "halt"  # stop running work
+    CALL = "call"  # make the call below; `us` = its time-out
+    SKIP = "skip"  # leave the call out
+    MEMO = "memo"  # remember a txn so that repeats are known; `us` = for how long
+    FORGET = "forget"  # drop what MEMO kept
+    ATTACH = "attach"  # settle a repeat with the result of the txn it repeats
+    FITNESS = "fitness"  # answer to health checks from now on: `flag` = good; always answered from store
+    PUBLISH = "publish"  # `level` = the free value that callers are told
+    IDLE_LIMIT = "idle_limit"  # close connections silent for `us`
+    WAKE = "wake"  # call `woke` at the time `us`
+    NOTE = "note"  # `text` for the operators
+
+
+class Outcome(IntEnum):
+    """How a run or a call below ended."""
+
+    ERROR = 0
+    OK = 1
+    FULL = 2
+    TIMEOUT = 3
+    CONNECT_FAILED = 4
+    RESET = 5
+    CANCELLED = 6
+    MOOT = 7
+
+
+class Stage(Enum):
+    """Where a txn is on this instance."""
+
+    HELD = "held"
+    JOINED = "joined"  # attached to the txn it repeats
+    RUNNING = "running"  # on the cores, disk waits included
+    PARKED = "parked"  # running, at a call that was not made yet
+    CALLING = "calling"  # running, its call is out
+    OVER = "over"
+
+
+@dataclass(slots=True, eq=False)
+class Txn:
+    """One txn that this instance has read. `ref` is the host's own mark; the brain only hands it back."""
+
+    ref: int
+    product: int
+    customer: int
+    caller: int
+    size_kb: float
+    arrived: int
+    due: int
+    sla_due: int
+    resent: bool = False
+    prior: Txn | None = None
+    repeat: bool = False
+    stage: Stage = Stage.HELD
+    answered: bool = False
+    ran: bool = False
+    settled: bool = False
+    over_share: bool = False
+    kept: bool = False
+    remembered_until: int = 0  # a repeat may still point here until then
+    started: int = 0
+    approach: int = 0
+    left_out: int = 0
+    calls_made: int = 0
+    call_since: int = 0
+    call_ends: int = 0
+    failed_as: Outcome | None = None
+    may_repeat_call: bool = True
+
+
+@dataclass(slots=True)
+class Decision:
+    """One thing that the host is to do now, on the objects that the brain handed out or was given."""
+
+    verb: Verb
+    txn: Txn | None = None
+    us: int = 0
+    level: float = 0.0
+    flag: bool = False
+    text: str = field(default="")
