Tell a later try's age from its patience by majority vote

Cause: tries carry their caller's usual patience, but the last one gets all that its client has left; taking the longest as usual made ordinary tries look past their SLA time, and free cores declined them. Also: advice and 'not elsewhere' now grow with the load instead of closing a server for 1 s. It could harm where a caller's usual patience changes often: the vote then lags.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -34,6 +34,8 @@
 CALL_SHARE = 0.9  # of the own share of calls below
 CALL_WAITERS = 2.0  # a core
 STOP_MARGIN = 200_000  # before the process is killed
+TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
+SAME_PATIENCE = 20_000
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
 INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -142,7 +144,7 @@
         self.abandoned: deque[tuple[int, int]] = deque()  # calls left behind: until when they linger
         self.past_calls: deque[tuple[int, int]] = deque()  # begin and end of finished ones
         self.calling: dict[int, Txn] = {}
-        self.patience: dict[tuple[int, int], int] = {}
+        self.patience: dict[tuple[int, int], tuple[int, int]] = {}
         self.buckets: dict[int, tuple[float, int]] = {}
         self.serial = 0
         self.wake_at: int | None = None
@@ -152,7 +154,7 @@
         self.stop_at: int | None = None
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
         self.said: float | None = None
-        self.speak_at, self.turned_away = now, 0
+        self.speak_at, self.turned_away, self.read = now, 0, 0
         self.healthy: bool | None = None
         self.call_best, self.call_cap = 0, max(1.0, 0.5 * self._calls_share())
         self.stream: Iterator[Decision] | None = None
@@ -178,6 +180,7 @@
         self.serial += 1
         heapq.heappush(self.dues, (due, self.serial, txn))
         kind.asked += 1
+        self.read += 1
         if kind.asked > 256:
             kind.asked, kind.settled = kind.asked / 2, kind.settled / 2
         if self.leave_at is not None and landed > self.leave_at + self.settings.get("rules.drain_grace", 0):
@@ -305,7 +308,9 @@
             yield Decision(Verb.VOID, txn)
         else:
             most = self.settings.get("limits.come_back_after", 0) if self.settings.get("limits.advice") else 0
-            yield Decision(Verb.DECLINE, txn, us=most, flag=not elsewhere)
+            # Advice grows with the load: one decline must not close this instance to a caller for long.
+            yield Decision(Verb.DECLINE, txn, us=int(most * (1 - self.welcome) ** 2),
+                           flag=not elsewhere and (txn.resent or self.welcome < TURN_ALL))
         if txn.kept and not txn.ran:
             txn.kept = False
             self.kept -= 1
@@ -437,11 +442,11 @@
         self.speak_at = self.now + SPEAK
         standing = any(s is not None for kind in self.products for s in kind.above_since)
         if self.turned_away:
-            self.welcome *= 0.8
+            self.welcome *= 1 - 0.5 * min(1.0, self.turned_away / (self.read + 1))
         elif not standing:
             self.welcome = min(1.0, self.welcome * 1.1)
         self.welcome = max(0.01, self.welcome)
-        self.turned_away = 0
+        self.turned_away = self.read = 0
         how = self.settings.get("instance.say", "none")
         level = 0.0 if self.leave_at is not None else self.welcome
         if how == "allowance":
@@ -522,10 +527,14 @@
         return bool(level < 1)
 
     def _date_back(self, txn: Txn, kind: Product, patience: int) -> None:
-        """A later try's age is not told, but patience that is short of its caller's usual tells it."""
+        """A later try's age is not told. A try mostly gets its caller's usual patience, found by majority
+        vote; one that gets another gets all that its client has left, and that tells its age."""
         key = (txn.caller, txn.product)
-        usual = self.patience[key] = max(patience, self.patience.get(key, 0))
-        if patience < usual - 50_000 or usual > kind.expiry - 50_000:
+        usual, votes = self.patience.get(key, (patience, 0))
+        alike = abs(patience - usual) < SAME_PATIENCE
+        votes += 1 if alike else -1
+        self.patience[key] = (patience, 0) if votes < 0 else (usual, min(votes, 20))
+        if not alike or usual > kind.expiry - SAME_PATIENCE:
             txn.sla_due -= max(0, kind.expiry - patience)
 
     def _weigh(self, kind: Product, over: int) -> float:
