--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -32,6 +32,8 @@
 CROWD_SHARE = 0.8  # of the crowd that the server survives
 MEMORY_SHARE = 0.92
 CALL_SHARE = 0.9  # of the own share of calls below
+CALL_MATTERS = 0.1  # time at a call, of the SLA time, from which leaving it out saves something
+CALL_STALE = 2_000_000  # what was seen of calls this long ago says nothing of them now
 CALL_WAITERS = 2.0  # a core
 STOP_MARGIN = 200_000  # before the process is killed
 TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
@@ -100,16 +102,21 @@
         self.ladder = [Approach()]
         if self.skip_value > 0:
             self.ladder.append(Approach())
-        self.run_times, self.answer_ages = Histogram(32), Histogram(32)
+        self.run_times, self.answer_ages, self.call_times = Histogram(32), Histogram(32), Histogram(16)
+        self.called_at = 0
         self.lines: tuple[deque[Txn], deque[Txn]] = (deque(), deque())  # within share, over it
         self.above_since: list[int | None] = [None, None]
         self.asked, self.settled = 0.0, 0.0
 
-    def choose(self, strained: bool) -> int:
-        if not strained:
+    def choose(self, strained: bool, now: int) -> int:
+        # Leaving a call out saves its time alone: where fresh calls are quick, slow cores are no reason to.
+        if not strained or now - self.called_at > CALL_STALE or self.call_times.quantile(0.75) < CALL_MATTERS:
             return 0
         return next(i for i, approach in enumerate(self.ladder) if approach.active)
 
+    def work(self) -> float:
+        return max(0.02, self.run_times.quantile(0.5)) * self.sla_time / 1e6
+
     def report(self, txn: Txn, elapsed: int) -> None:
         """The paper's switch, after each run."""
         approach = self.ladder[txn.approach]
@@ -156,7 +163,7 @@
         self.said: float | None = None
         self.speak_at, self.turned_away, self.read = now, 0, 0
         self.healthy: bool | None = None
-        self.call_best, self.call_cap = 0, max(1.0, 0.5 * self._calls_share())
+        self.call_cap = max(1.0, 0.5 * self._calls_share())
         self.stream: Iterator[Decision] | None = None
 
     # ---- inputs: bookkeeping only
@@ -219,15 +226,14 @@
             return
         kind = self.products[txn.product]
         self._call_over(txn, linger=outcome in (Outcome.TIMEOUT, Outcome.RESET))
+        kind.call_times.add(spent / kind.sla_time)
+        self._tune_calls(outcome != Outcome.OK or spent > TARGET * kind.sla_time)
         if outcome == Outcome.OK:
             self._move(txn, Stage.RUNNING)
-            self.call_best = min(self.call_best or spent, spent) + self.call_best // 200
-            self._tune_calls(spent > 3 * self.call_best)
         else:
             txn.failed_as = outcome
             # Rule 2: a call that may have taken effect is made again for inquiry-like txns alone.
             txn.may_repeat_call = kind.kind == INQUIRY or outcome in NEVER_RAN
-            self._tune_calls(True)
             self._park(txn)
 
     def caller_gone(self, now: int, txn: Txn) -> None:
@@ -317,7 +323,8 @@
             yield Decision(Verb.FORGET, txn)
         if not running:
             self._over(txn)
-        elif kind.kind == INQUIRY and txn.stage == Stage.RUNNING and self._may_halt():
+        elif (kind.kind == INQUIRY and txn.stage == Stage.RUNNING
+              and self.settings.get("instance.preemption", "none") in ("discard", "freeze")):
             yield Decision(Verb.HALT, txn)  # answered first, so it is finished: core and memory are free
 
     def _join_repeats(self) -> Iterator[Decision]:
@@ -411,6 +418,7 @@
                     txn.call_ends = self.now + time_out
                     self._move(txn, Stage.CALLING)
                     txn.call_since = self.now
+                    kind.called_at = self.now
                     self.calling[txn.ref] = txn
                     yield Decision(Verb.CALL, txn, us=time_out)
                 else:
@@ -432,7 +440,7 @@
                 line.appendleft(txn)
                 return
             kind = self.products[txn.product]
-            txn.approach = kind.choose(strained)
+            txn.approach = kind.choose(strained, self.now)
             txn.ran, txn.started = True, self.now
             self._move(txn, Stage.RUNNING)
             yield Decision(Verb.RUN, txn)
@@ -508,7 +516,7 @@
 
     def _tune_calls(self, slow: bool) -> None:
         top = self._calls_share()
-        self.call_cap = max(1.0, self.call_cap * 0.95) if slow else min(top, self.call_cap + 0.1)
+        self.call_cap = max(1.0, self.call_cap * 0.85) if slow else min(top, self.call_cap + 0.05)
 
     def _useful_until(self, txn: Txn) -> int:
         until = min(txn.sla_due, txn.due)
@@ -539,9 +547,9 @@
 
     def _weigh(self, kind: Product, over: int) -> float:
         """What a core's time is worth to the site's goal if this line gets it."""
-        work = max(0.02, kind.run_times.quantile(0.5)) * kind.sla_time / 1e6
+        work = kind.work()
         by_work = self.settings.get("value_by") == "work"
-        total = sum(k.value * k.asked * (self._work(k) if by_work else 1.0) for k in self.products) or 1.0
+        total = sum(k.value * k.asked * (k.work() if by_work else 1.0) for k in self.products) or 1.0
         ratios = [(k.settled + 1) / (k.asked + 1) for k in self.products]
         goal = self.settings.get
         value = kind.value * (work if by_work else 1.0)
@@ -552,9 +560,6 @@
             weight *= self.settings.get("over_share_value", 1.0)
         return float(weight / work)
 
-    def _work(self, kind: Product) -> float:
-        return max(0.02, kind.run_times.quantile(0.5)) * kind.sla_time / 1e6
-
     def _most_wanted(self, crowded: bool) -> deque[Txn] | None:
         best, best_weight = None, -1.0
         for kind in self.products:
@@ -573,9 +578,6 @@
     def _prior_ran(self, txn: Txn) -> bool:
         return txn.repeat and (txn.prior is None or txn.prior.ran or txn.prior.stage == Stage.JOINED)
 
-    def _may_halt(self) -> bool:
-        return self.settings.get("instance.preemption", "none") in ("discard", "freeze")
-
     # ---- counts
 
     def _on_cores(self) -> int:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,8 @@
 START = 5_000_000
 SLACK = 60_000
 PLAIN = {
-    "products.count": 1, "products.0.sla_time": 1_000_000, "products.0.expiry": 4_000_000, "products.0.value": 1.0,
+    "products.count": 1, "products.0.sla_time": 1_000_000, "products.0.expiry": 4_000_000,
+    "products.0.value": 1.0,
     "products.0.kind": "inquiry-like", "products.0.window": 2_000_000, "instance.cores": 2,
     "instance.product_calls": [True], "instance.skip_values": [0.5], "instance.calls_out": 4.0,
     "instance.calls_over": 5_000_000, "instance.linger": 200_000, "instance.memory_kb": 4000.0,
@@ -53,8 +54,8 @@
         entry = self.table.get(key) if key else None
         prior = entry[0] if entry and (entry[1] > landed) else None
         ref = len(self.txns) + 1
-        txn = self.brain.arrived(self.now, ref, product, patience=patience, size_kb=size_kb, age=age, caller=caller,
-                                 resent=resent, customer=customer, prior=prior, repeat=prior is not None)
+        txn = self.brain.arrived(self.now, ref, product, patience=patience, size_kb=size_kb, age=age,
+                                 caller=caller, resent=resent, customer=customer, prior=prior, repeat=prior is not None)
         self.keys[ref] = key or f"own-{ref}"
         self.txns.append(txn)
         return txn
@@ -69,7 +70,8 @@
     def end_call(self, txn: Txn, lingers: bool = False) -> None:
         if txn.ref in self.calls:
             begin = self.calls.pop(txn.ref)[0]
-            self.call_log.append((begin, self.now + (int(str(self.setting("instance.linger"))) if lingers else 0)))
+            linger = int(str(self.setting("instance.linger"))) if lingers else 0
+            self.call_log.append((begin, self.now + linger))
 
     def call_ends(self, txn: Txn, outcome: Outcome) -> None:
         self.end_call(txn, lingers=outcome == Outcome.TIMEOUT)
@@ -129,7 +131,8 @@
             self.answers[txn.ref] = verb
         elif verb == Verb.CALL:
             last = self.last_call.get(txn.ref, Outcome.OK)
-            assert not careful or last in (Outcome.OK, Outcome.FULL, Outcome.CONNECT_FAILED), "call made twice"
+            proven = last in (Outcome.OK, Outcome.FULL, Outcome.CONNECT_FAILED)
+            assert not careful or proven, "call made twice"
             assert decision.us > 0
             self.calls[txn.ref] = (self.now, decision.us)
         elif verb == Verb.SKIP:
@@ -143,8 +146,8 @@
 
     def check(self) -> None:
         number = {name: float(str(self.settings[name])) for name in (
-            "instance.cores", "rules.overload_factor", "rules.cold_from", "rules.ramp_time", "instance.run_factor",
-            "instance.kb_per_key", "instance.memory_kb", "instance.calls_out", "instance.calls_over")}
+            "instance.cores", "rules.overload_factor", "rules.cold_from", "rules.ramp_time",
+            "instance.run_factor", "instance.kb_per_key", "instance.memory_kb", "instance.calls_out", "instance.calls_over")}
         for txn in self.txns:
             assert txn.ref in self.answers or self.now <= txn.due + SLACK or txn.stage == Stage.OVER, "lost"
         assert len(self.wakes) <= 1
