--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -117,6 +117,9 @@
     def work(self) -> float:
         return max(0.02, self.run_times.quantile(0.5)) * self.sla_time / 1e6
 
+    def served(self) -> float:
+        return (self.settled + 1) / (self.asked + 1)
+
     def report(self, txn: Txn, elapsed: int) -> None:
         """The paper's switch, after each run."""
         approach = self.ladder[txn.approach]
@@ -263,8 +266,7 @@
     def decide(self) -> Decision | None:
         if self.stream is None:
             self.stream = self._decisions()
-        decision = next(self.stream, None)
-        if decision is None:
+        if (decision := next(self.stream, None)) is None:
             self.stream = None
         return decision
 
@@ -385,8 +387,8 @@
                 if not line:
                     kind.above_since[over] = None
         # Rule 4, memory: the hold itself must fit, whatever is read.
-        while self._room() < 0 and (least := self._least_wanted()) is not None:
-            txn = least.pop()
+        while self._room() < 0 and (ranked := self._ranked()):
+            txn = min(ranked)[2].pop()
             if txn.stage == Stage.HELD:
                 yield from self._turn_away(txn)
 
@@ -430,9 +432,10 @@
         waiters = int(CALL_WAITERS * self.cores)
         while self._on_cores() < int(self.cap) and self._in_runs() + 1 <= limit:
             crowded = self._in_runs() - self._on_cores() >= waiters
-            line = self._most_wanted(crowded)
-            if line is None:
+            ranked = self._ranked(crowded)
+            if not ranked:
                 return
+            line = max(ranked)[2]
             txn = line.popleft()
             if txn.stage != Stage.HELD:
                 continue
@@ -491,8 +494,9 @@
         return float((1 + (self.settings.get("rules.overload_factor", 2.0) - 1) * speed) * self.cores)
 
     def _room(self) -> float:
-        share = MEMORY_SHARE * self.settings.get("instance.memory_kb", 1e9)
-        return float(share - self.memory - self.kept * self.settings.get("instance.kb_per_key", 0.0))
+        get = self.settings.get
+        return float(MEMORY_SHARE * get("instance.memory_kb", 1e9) - self.memory
+                     - self.kept * get("instance.kb_per_key", 0.0))
 
     def _calls_share(self) -> float:
         return float(self.settings.get("instance.calls_out", 0.5))
@@ -550,30 +554,16 @@
         work = kind.work()
         by_work = self.settings.get("value_by") == "work"
         total = sum(k.value * k.asked * (k.work() if by_work else 1.0) for k in self.products) or 1.0
-        ratios = [(k.settled + 1) / (k.asked + 1) for k in self.products]
         goal = self.settings.get
-        value = kind.value * (work if by_work else 1.0)
-        weight = (goal("goal.whole", 1.0) + goal("goal.worst_window", 0.0)) * value / total
-        if ratios[kind.number] <= min(ratios) + 0.02:
+        weight = goal("goal.whole", 1.0) + goal("goal.worst_window", 0.0)
+        weight *= kind.value * (work if by_work else 1.0) / total
+        if kind.served() <= min(k.served() for k in self.products) + 0.02:
             weight += goal("goal.worst_product", 0.0) / max(1.0, kind.asked)
-        if over:
-            weight *= self.settings.get("over_share_value", 1.0)
-        return float(weight / work)
+        return float(weight / work * (goal("over_share_value", 1.0) if over else 1.0))
 
-    def _most_wanted(self, crowded: bool) -> deque[Txn] | None:
-        best, best_weight = None, -1.0
-        for kind in self.products:
-            if crowded and kind.calls:
-                continue
-            for over, line in enumerate(kind.lines):
-                if line and (weight := self._weigh(kind, over)) > best_weight:
-                    best, best_weight = line, weight
-        return best
-
-    def _least_wanted(self) -> deque[Txn] | None:
-        lines = [(self._weigh(kind, over), kind.number, over) for kind in self.products
-                 for over, line in enumerate(kind.lines) if line]
-        return self.products[min(lines)[1]].lines[min(lines)[2]] if lines else None
+    def _ranked(self, crowded: bool = False) -> list[tuple[float, int, deque[Txn]]]:
+        return [(self._weigh(kind, over), -kind.number, line) for kind in self.products
+                for over, line in enumerate(kind.lines) if line and not (crowded and kind.calls)]
 
     def _prior_ran(self, txn: Txn) -> bool:
         return txn.repeat and (txn.prior is None or txn.prior.ran or txn.prior.stage == Stage.JOINED)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -55,7 +55,8 @@
         prior = entry[0] if entry and (entry[1] > landed) else None
         ref = len(self.txns) + 1
         txn = self.brain.arrived(self.now, ref, product, patience=patience, size_kb=size_kb, age=age,
-                                 caller=caller, resent=resent, customer=customer, prior=prior, repeat=prior is not None)
+                                 caller=caller, resent=resent, customer=customer, prior=prior,
+                                 repeat=prior is not None)
         self.keys[ref] = key or f"own-{ref}"
         self.txns.append(txn)
         return txn
@@ -147,7 +148,8 @@
     def check(self) -> None:
         number = {name: float(str(self.settings[name])) for name in (
             "instance.cores", "rules.overload_factor", "rules.cold_from", "rules.ramp_time",
-            "instance.run_factor", "instance.kb_per_key", "instance.memory_kb", "instance.calls_out", "instance.calls_over")}
+            "instance.run_factor", "instance.kb_per_key", "instance.memory_kb", "instance.calls_out",
+            "instance.calls_over")}
         for txn in self.txns:
             assert txn.ref in self.answers or self.now <= txn.due + SLACK or txn.stage == Stage.OVER, "lost"
         assert len(self.wakes) <= 1
