Let the published value recover where cores are free, bound the cap's growth

Cause: after a short overload every server told callers to stay away and took 20 s to say otherwise, so all weights were alike and a slow server got as much as the rest; and the cap grew on idle cores up to the survivable crowd. It should hold for any mix of well and ill servers; it could harm where cores look free because work hangs below.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -142,7 +142,7 @@
         self.chance = random.Random(seed)
         self.products = [Product(settings, i) for i in range(settings.get("products.count", 0))]
         self.cores: int = settings.get("instance.cores", 1)
-        self.cap = float(self.cores)
+        self.cap, self.cap_binds = float(self.cores), False
         self.counts = dict.fromkeys(Stage, 0)
         self.memory = 0.0
         self.keys: list[tuple[int, int, Txn]] = []
@@ -432,10 +432,12 @@
         strained = self.strained()
         limit = CROWD_SHARE * self._crowd()
         waiters = int(CALL_WAITERS * self.cores)
-        while self._on_cores() < int(self.cap) and self._in_runs() + 1 <= limit:
+        self.cap_binds = False
+        while self._in_runs() + 1 <= limit:
             crowded = self._in_runs() - self._on_cores() >= waiters
             ranked = self._ranked(crowded)
-            if not ranked:
+            self.cap_binds = bool(ranked) and self._on_cores() >= int(self.cap)
+            if not ranked or self.cap_binds:
                 return
             line = max(ranked)[2]
             txn = line.popleft()
@@ -456,9 +458,11 @@
         standing = any(s is not None for kind in self.products for s in kind.above_since)
         if self.turned_away:
             self.welcome *= 1 - 0.5 * min(1.0, self.turned_away / (self.read + 1))
+        elif self.busy < FULL_CORES:
+            self.welcome = min(1.0, self.welcome * 1.5)
         elif not standing:
             self.welcome = min(1.0, self.welcome * 1.1)
-        self.welcome = max(0.01, self.welcome)
+        self.welcome = max(0.02, self.welcome)
         self.turned_away = self.read = 0
         how = self.settings.get("instance.say", "none")
         level = 0.0 if self.leave_at is not None else self.welcome
@@ -483,7 +487,7 @@
     def _size_cap(self) -> None:
         if self.runnable > CROWDED * self.cores:
             self.cap = max(self.cores, self.cap - 1)
-        elif self.busy < FULL_CORES and any(line for kind in self.products for line in kind.lines):
+        elif self.busy < FULL_CORES and self.cap_binds:
             self.cap = min(self.cap * 1.1 + 0.5, CROWD_SHARE * self._crowd())
 
     def _crowd(self) -> float:
