--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -32,6 +32,7 @@
 CROWD_SHARE = 0.8  # of the crowd that the server survives
 MEMORY_SHARE = 0.92
 CALL_SHARE = 0.9  # of the own share of calls below
+ALLOWED = 2.5  # txns a core out here at a welcome of 1, by allowance
 CALL_MATTERS = 0.1  # time at a call, of the SLA time, from which leaving it out saves something
 CALL_STALE = 2_000_000  # what was seen of calls this long ago says nothing of them now
 CALL_WAITERS = 2.0  # a core
@@ -317,7 +318,7 @@
         else:
             most = self.settings.get("limits.come_back_after", 0) if self.settings.get("limits.advice") else 0
             # Advice grows with the load: one decline must not close this instance to a caller for long.
-            yield Decision(Verb.DECLINE, txn, us=int(most * (1 - self.welcome) ** 2),
+            yield Decision(Verb.DECLINE, txn, us=int(most * max(0.0, 1 - self.welcome) ** 2),
                            flag=not elsewhere and (txn.resent or self.welcome < TURN_ALL))
         if txn.kept and not txn.ran:
             txn.kept = False
@@ -455,19 +456,20 @@
     def _speak(self) -> Iterator[Decision]:
         """The free value: callers that heed it stay away before they cost a reading."""
         self.speak_at = self.now + SPEAK
+        how = self.settings.get("instance.say", "none")
+        top = 4.0 if how == "allowance" else 1.0
         standing = any(s is not None for kind in self.products for s in kind.above_since)
         if self.turned_away:
             self.welcome *= 1 - 0.5 * min(1.0, self.turned_away / (self.read + 1))
         elif self.busy < FULL_CORES:
-            self.welcome = min(1.0, self.welcome * 1.5)
+            self.welcome = min(top, self.welcome * 1.5)
         elif not standing:
-            self.welcome = min(1.0, self.welcome * 1.1)
+            self.welcome = min(top, self.welcome * 1.1)
         self.welcome = max(0.02, self.welcome)
         self.turned_away = self.read = 0
-        how = self.settings.get("instance.say", "none")
         level = 0.0 if self.leave_at is not None else self.welcome
         if how == "allowance":
-            level *= 6.0 * self.cores / max(1, self.settings.get("instance.callers", 1))
+            level *= ALLOWED * self.cores / max(1, self.settings.get("instance.callers", 1))
         elif how == "floor":
             level = min(0.99, 1.0 - level)
         elif how != "weight":
