Raise the welcome only with an empty hold, grow the cap on cores free now

Cause: callers were invited while txns were held, and the half-second busy gauge kept the cap from filling cores that waited for disk.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -458,12 +458,12 @@
         self.speak_at = self.now + SPEAK
         how = self.settings.get("instance.say", "none")
         top = 4.0 if how == "allowance" else 1.0
-        standing = any(s is not None for kind in self.products for s in kind.above_since)
+        waiting = any(line for kind in self.products for line in kind.lines)
         if self.turned_away:
             self.welcome *= 1 - 0.5 * min(1.0, self.turned_away / (self.read + 1))
-        elif self.busy < FULL_CORES:
+        elif self.busy < FULL_CORES and not waiting:
             self.welcome = min(top, self.welcome * 1.5)
-        elif not standing:
+        elif not waiting:
             self.welcome = min(top, self.welcome * 1.1)
         self.welcome = max(0.02, self.welcome)
         self.turned_away = self.read = 0
@@ -489,7 +489,7 @@
     def _size_cap(self) -> None:
         if self.runnable > CROWDED * self.cores:
             self.cap = max(self.cores, self.cap - 1)
-        elif self.busy < FULL_CORES and self.cap_binds:
+        elif self.runnable <= self.cores and self.cap_binds:
             self.cap = min(self.cap * 1.1 + 0.5, CROWD_SHARE * self._crowd())
 
     def _crowd(self) -> float:
