Decline each held txn after its own target and interval

Cause: a line that stood for an interval was emptied at once, so bursts were declined while cores fell idle; waits before the reading counted as held.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -106,7 +106,7 @@
         self.run_times, self.answer_ages, self.call_times = Histogram(32), Histogram(32), Histogram(16)
         self.called_at = 0
         self.lines: tuple[deque[Txn], deque[Txn]] = (deque(), deque())  # within share, over it
-        self.above_since: list[int | None] = [None, None]
+        self.target, self.interval = int(TARGET * self.sla_time), int(INTERVAL * self.sla_time)
         self.asked, self.settled = 0.0, 0.0
 
     def choose(self, strained: bool, now: int) -> int:
@@ -181,7 +181,7 @@
         # Where the wait should come with the txn and does not, nothing is left of it.
         told = patience > 0 or self.settings.get("instance.passes_expiry")
         due = now + patience if told else max(now, landed + kind.expiry)
-        txn = Txn(ref, product, customer, caller, size_kb, landed, due, landed + kind.sla_time,
+        txn = Txn(ref, product, customer, caller, size_kb, landed, now, due, landed + kind.sla_time,
                   resent, prior, repeat)
         self._date_back(txn, kind, due - landed)
         txn.remembered_until = landed + kind.window
@@ -367,28 +367,21 @@
         """The hold rule: what waits past the target over an interval goes, from the front."""
         now = self.now
         for kind in self.products:
-            target, interval = int(TARGET * kind.sla_time), int(INTERVAL * kind.sla_time)
             need = int(kind.run_times.quantile(0.5) * kind.sla_time)
-            for over, line in enumerate(kind.lines):
+            for line in kind.lines:
                 while line:
                     txn = line[0]
                     if txn.stage != Stage.HELD:
                         line.popleft()
                         continue
-                    if now - txn.arrived <= target:
-                        kind.above_since[over] = None
-                    elif kind.above_since[over] is None:
-                        kind.above_since[over] = now
-                    since = kind.above_since[over]
                     # Not worth running: it can't make its SLA time. A few still run, to see a slow spell end.
                     late = now + need > self._useful_until(txn) and self._on_cores() >= self.cores // 3
-                    if late or now > txn.sla_due or (since is not None and now - since >= interval):
+                    # The wait is counted from the reading: what waited unread was no choice of the hold.
+                    if late or now > txn.sla_due or now - txn.read > kind.target + kind.interval:
                         line.popleft()
                         yield from self._turn_away(txn)
                     else:
                         break
-                if not line:
-                    kind.above_since[over] = None
         # Rule 4, memory: the hold itself must fit, whatever is read.
         while self._room() < 0 and (ranked := self._ranked()):
             txn = min(ranked)[2].pop()
@@ -483,7 +476,8 @@
     def strained(self) -> bool:
         """Deactivation binds only then; else the full run."""
         return (self.busy >= FULL_CORES
-                or any(s is not None for kind in self.products for s in kind.above_since)
+                or any(line and self.now - line[0].read > kind.target for kind in self.products
+                       for line in kind.lines)
                 or any(kind.answer_ages.quantile(0.9) > TIME_LIMIT for kind in self.products))
 
     def _size_cap(self) -> None:
--- a/limeridge/interface.py
+++ b/limeridge/interface.py
@@ -62,7 +62,8 @@
     customer: int
     caller: int
     size_kb: float
-    arrived: int
+    arrived: int  # at the machine
+    read: int  # into the hold
     due: int
     sla_due: int
     resent: bool = False
