Let a line of unread txns lower the welcome

It should hold against any cause of slow reading (retry floods, slow cores, handshakes); it could harm where pauses alone age what is read.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -165,7 +165,7 @@
         self.stop_at: int | None = None
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
         self.said: float | None = None
-        self.speak_at, self.turned_away, self.read = now, 0, 0
+        self.speak_at, self.turned_away, self.read, self.unread = now, 0, 0, 0.0
         self.healthy: bool | None = None
         self.call_cap = max(1.0, 0.5 * self._calls_share())
         self.stream: Iterator[Decision] | None = None
@@ -192,6 +192,7 @@
         heapq.heappush(self.dues, (due, self.serial, txn))
         kind.asked += 1
         self.read += 1
+        self.unread = max(self.unread, age / kind.sla_time)
         if kind.asked > 256:
             kind.asked, kind.settled = kind.asked / 2, kind.settled / 2
         if self.leave_at is not None and landed > self.leave_at + self.settings.get("rules.drain_grace", 0):
@@ -454,12 +455,14 @@
         waiting = any(line for kind in self.products for line in kind.lines)
         if self.turned_away:
             self.welcome *= 1 - 0.5 * min(1.0, self.turned_away / (self.read + 1))
+        elif self.unread > TARGET:
+            self.welcome *= 0.9  # against a line at the door, which no decline shows
         elif self.busy < FULL_CORES and not waiting:
             self.welcome = min(top, self.welcome * 1.5)
         elif not waiting:
             self.welcome = min(top, self.welcome * 1.1)
         self.welcome = max(0.02, self.welcome)
-        self.turned_away = self.read = 0
+        self.turned_away, self.read, self.unread = 0, 0, 0.0
         level = 0.0 if self.leave_at is not None else self.welcome
         if how == "allowance":
             level *= ALLOWED * self.cores / max(1, self.settings.get("instance.callers", 1))
