Rank later tries below first ones

Kept: it should hold for any retry storm; it could harm where a first server is ill and the later try is still young.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -26,6 +26,7 @@
 TARGET = 0.12  # hold target, of the SLA time
 INTERVAL = 0.05  # of the SLA time
 HOPE = 0.75  # share of recent runs that a held txn must still have time for
+LATER_TRY = 0.7
 TICK = 50_000  # the one pending wake-up comes at most this much later
 SPEAK = 250_000  # the published value moves at most this often
 FULL_CORES = 0.93  # busy share at which cores count as near full
@@ -106,7 +107,7 @@
             self.ladder.append(Approach())
         self.run_times, self.answer_ages, self.call_times = Histogram(32), Histogram(32), Histogram(16)
         self.called_at = 0
-        self.lines: tuple[deque[Txn], deque[Txn]] = (deque(), deque())  # within share, over it
+        self.lines: tuple[deque[Txn], ...] = (deque(), deque(), deque())  # first, later tries, over share
         self.target, self.interval = int(TARGET * self.sla_time), int(INTERVAL * self.sla_time)
         self.asked, self.settled = 0.0, 0.0
 
@@ -201,7 +202,7 @@
         elif kind.kind == REFERENCED:
             self.repeats.append(txn)
         else:
-            kind.lines[txn.over_share].append(txn)
+            kind.lines[2 if txn.over_share else txn.resent].append(txn)
         return txn
 
     def ended(self, now: int, txn: Txn, outcome: Outcome, spent: int) -> None:
@@ -363,7 +364,7 @@
                 if life > 0:
                     self._keep(txn, life)
                     yield Decision(Verb.MEMO, txn, us=life)
-                self.products[txn.product].lines[txn.over_share].append(txn)
+                self.products[txn.product].lines[2 if txn.over_share else txn.resent].append(txn)
 
     def _trim_hold(self) -> Iterator[Decision]:
         """The hold rule: what waits past the target over an interval goes, from the front."""
@@ -555,7 +556,7 @@
         if not alike or usual > kind.expiry - SAME_PATIENCE:
             txn.sla_due -= max(0, kind.expiry - patience)
 
-    def _weigh(self, kind: Product, over: int) -> float:
+    def _weigh(self, kind: Product, line: int) -> float:
         """What a core's time is worth to the site's goal if this line gets it."""
         work = kind.work()
         by_work = self.settings.get("value_by") == "work"
@@ -565,11 +566,12 @@
         weight *= kind.value * (work if by_work else 1.0) / total
         if kind.served() <= min(k.served() for k in self.products) + 0.02:
             weight += goal("goal.worst_product", 0.0) / max(1.0, kind.asked)
-        return float(weight / work * (goal("over_share_value", 1.0) if over else 1.0))
+        # A later try may be past its SLA time already, which its patience need not show.
+        return float(weight / work * (1.0, LATER_TRY, goal("over_share_value", 1.0))[line])
 
     def _ranked(self, crowded: bool = False) -> list[tuple[float, int, deque[Txn]]]:
-        return [(self._weigh(kind, over), -kind.number, line) for kind in self.products
-                for over, line in enumerate(kind.lines) if line and not (crowded and kind.calls)]
+        return [(self._weigh(kind, number), -kind.number, line) for kind in self.products
+                for number, line in enumerate(kind.lines) if line and not (crowded and kind.calls)]
 
     def _prior_ran(self, txn: Txn) -> bool:
         while txn.prior is not None and txn.prior.heir is not None:
