Give room at the ledger to the call that loses most if left out

Cause: with a slow ledger, room went by arrival, so calls whose leaving out loses 2.1 of value waited behind ones that lose 0.5. A run that left a call out already leaves the next one out too when there is no room: it loses no more. It should hold for any shortage below; it could harm where a low-value product has no value at all without its call.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -160,16 +160,16 @@
         self.patience: dict[tuple[int, int], tuple[int, int]] = {}
         self.buckets: dict[int, tuple[float, int]] = {}
         self.serial = 0
+        self.busy, self.runnable, self.gauge_new = 0.0, 0.0, False
         self.wake_at: int | None = None
-        self.busy, self.runnable = 0.0, 0.0
-        self.gauge_new = False
         self.leave_at: int | None = None
         self.stop_at: int | None = None
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
         self.said: float | None = None
         self.speak_at, self.turned_away, self.read, self.unread = now, 0, 0, 0.0
         self.healthy: bool | None = None
-        self.call_cap = max(1.0, 0.5 * self._calls_share())
+        self.calls_share = float(settings.get("instance.calls_out", 0.5))
+        self.call_cap = max(1.0, 0.5 * self.calls_share)
         self.stream: Iterator[Decision] | None = None
 
     # ---- inputs: bookkeeping only
@@ -234,7 +234,9 @@
         kind = self.products[txn.product]
         self._call_over(txn, linger=outcome in (Outcome.TIMEOUT, Outcome.RESET))
         kind.call_times.add(spent / kind.sla_time)
-        self._tune_calls(outcome != Outcome.OK or spent > TARGET * kind.sla_time)
+        slow = outcome != Outcome.OK or spent > kind.target
+        steps = max(1.0, self.call_cap * 0.85), min(self.calls_share, self.call_cap + 0.05)
+        self.call_cap = steps[0] if slow else steps[1]
         if outcome == Outcome.OK:
             self._move(txn, Stage.RUNNING)
         else:
@@ -312,7 +314,6 @@
         kind = self.products[txn.product]
         if txn.answered or txn.stage == Stage.OVER:
             return
-        running = txn.stage in (Stage.RUNNING, Stage.PARKED, Stage.CALLING)
         txn.answered = True
         self.turned_away += 1
         # Rule 2: what has run, or joined what has, may have taken effect; never say that it never ran.
@@ -327,7 +328,7 @@
             txn.kept = False
             self.kept -= 1
             yield Decision(Verb.FORGET, txn)
-        if not running:
+        if txn.stage in (Stage.HELD, Stage.JOINED):
             self._over(txn)
         elif (kind.kind == INQUIRY and txn.stage == Stage.RUNNING
               and self.settings.get("instance.preemption", "none") in ("discard", "freeze")):
@@ -342,15 +343,11 @@
             ran, prior = self._prior_ran(txn), txn.prior
             if prior is not None and prior.stage == Stage.HELD and not prior.answered:
                 self.repeats.append(txn)
-            elif prior is not None and ran:
-                if prior.settled or prior.stage != Stage.OVER:
-                    txn.ran = True
-                    self._move(txn, Stage.JOINED)
-                    yield Decision(Verb.ATTACH, txn)
-                else:
-                    yield from self._turn_away(txn)
-            elif ran:
-                txn.ran = True  # its first try is not known here any more, so it may have run
+            elif prior is not None and ran and (prior.settled or prior.stage != Stage.OVER):
+                txn.ran = True
+                self._move(txn, Stage.JOINED)
+                yield Decision(Verb.ATTACH, txn)
+            elif ran:  # it failed, or is not known here any more and may have run
                 yield from self._turn_away(txn)
             else:
                 if prior is not None:
@@ -362,14 +359,18 @@
                     yield from self._turn_away(txn, elsewhere=True)
                     continue
                 if life > 0:
-                    self._keep(txn, life)
+                    txn.kept, txn.remembered_until = True, self.now + life
+                    self.kept += 1
+                    self.serial += 1
+                    heapq.heappush(self.keys, (txn.remembered_until, self.serial, txn))
                     yield Decision(Verb.MEMO, txn, us=life)
                 self.products[txn.product].lines[2 if txn.over_share else txn.resent].append(txn)
 
     def _trim_hold(self) -> Iterator[Decision]:
         """The hold rule: what waits past the target over an interval goes, from the front."""
-        now = self.now
+        now, probes = self.now, max(1, self.cores // 3)
         for kind in self.products:
+            stop = now + kind.expiry if self.stop_at is None else self.stop_at - STOP_MARGIN
             need = int(kind.run_times.quantile(HOPE) * kind.sla_time)
             for line in kind.lines:
                 while line:
@@ -378,7 +379,7 @@
                         line.popleft()
                         continue
                     # Not worth running: it can't make its SLA time. A few still run, to see a slow spell end.
-                    late = now + need > self._useful_until(txn) and self._on_cores() >= self.cores // 3
+                    late = now + need > min(txn.sla_due, txn.due, stop) and self._on_cores() >= probes
                     # The wait is counted from the reading: what waited unread was no choice of the hold.
                     if late or now > txn.sla_due or now - txn.read > kind.target + kind.interval:
                         line.popleft()
@@ -392,34 +393,32 @@
                 yield from self._turn_away(txn)
 
     def _feed_calls(self) -> Iterator[Decision]:
-        """Call waiters: their own bound, apart from the running cap."""
-        for needed in (True, False):  # calls that can't be left out go first
-            for _ in range(len(self.parked)):
-                txn = self.parked.popleft()
+        """Call waiters: their own bound, apart from the running cap. Room goes first to the call that would
+        lose most if left out; a run that left one out already has no more to lose."""
+        if self.parked:
+            waiting = sorted(self.parked, key=self._loss, reverse=True)
+            self.parked.clear()
+            for txn in waiting:
                 kind = self.products[txn.product]
                 if txn.stage != Stage.PARKED or txn.answered:
                     continue
-                if (kind.skip_value > 0) == needed:
-                    self.parked.append(txn)
-                    continue
-                waited = self.now - txn.call_since
                 # A run that meets trouble below mid-way leaves the call out too, against piling up there.
-                stuck = txn.failed_as is not None or waited > TARGET * kind.sla_time
-                planned = txn.left_out < txn.approach
-                if kind.skip_value > 0 and (planned or stuck):
+                stuck = txn.failed_as is not None or self.now - txn.call_since > kind.target
+                time_out = self._call_room(txn)
+                if kind.skip_value > 0 and (txn.left_out < txn.approach or stuck
+                                            or (txn.left_out and not time_out)):
                     txn.left_out += 1
                     txn.failed_as = None
                     self._move(txn, Stage.RUNNING)
                     yield Decision(Verb.SKIP, txn)
                 elif self.now > txn.sla_due or not txn.may_repeat_call:
                     yield from self._turn_away(txn)
-                elif (time_out := self._call_room(txn, kind)) > 0:
+                elif time_out:
                     txn.calls_made += 1
                     txn.failed_as = None
                     txn.call_ends = self.now + time_out
                     self._move(txn, Stage.CALLING)
-                    txn.call_since = self.now
-                    kind.called_at = self.now
+                    txn.call_since = kind.called_at = self.now
                     self.calling[txn.ref] = txn
                     yield Decision(Verb.CALL, txn, us=time_out)
                 else:
@@ -505,14 +504,11 @@
         return float(MEMORY_SHARE * get("instance.memory_kb", 1e9) - self.memory
                      - self.kept * get("instance.kb_per_key", 0.0))
 
-    def _calls_share(self) -> float:
-        return float(self.settings.get("instance.calls_out", 0.5))
-
-    def _call_room(self, txn: Txn, kind: Product) -> int:
+    def _call_room(self, txn: Txn) -> int:
         """Rule 4 below: the own share of calls, lingering ones included. 0 = no room, else a time-out."""
         time_out = max(TICK, min(txn.sla_due, txn.due) - self.now)
         linger = self.settings.get("instance.linger", 200_000)
-        share = CALL_SHARE * self._calls_share()
+        share = CALL_SHARE * self.calls_share
         in_hand = len(self.calling) + len(self.abandoned)
         if in_hand + 1 <= share:
             return time_out if in_hand + 1 <= max(1.0, self.call_cap) else 0
@@ -525,14 +521,6 @@
         spare = int(share * span - area - linger)
         return min(time_out, spare) if share < 2 and spare >= TICK else 0
 
-    def _tune_calls(self, slow: bool) -> None:
-        top = self._calls_share()
-        self.call_cap = max(1.0, self.call_cap * 0.85) if slow else min(top, self.call_cap + 0.05)
-
-    def _useful_until(self, txn: Txn) -> int:
-        until = min(txn.sla_due, txn.due)
-        return until if self.stop_at is None else min(until, self.stop_at - STOP_MARGIN)
-
     def _over_share(self, txn: Txn) -> bool:
         """Traffic beyond a customer's share is worth little and is not marked: an own count of it, this
         instance's part of the quota, tells."""
@@ -573,6 +561,10 @@
         return [(self._weigh(kind, number), -kind.number, line) for kind in self.products
                 for number, line in enumerate(kind.lines) if line and not (crowded and kind.calls)]
 
+    def _loss(self, txn: Txn) -> float:
+        kind = self.products[txn.product]
+        return 0.0 if txn.left_out else kind.value * (1 - kind.skip_value)
+
     def _prior_ran(self, txn: Txn) -> bool:
         while txn.prior is not None and txn.prior.heir is not None:
             txn.prior = txn.prior.heir
@@ -615,12 +607,6 @@
         self._move(txn, Stage.OVER)
         txn.prior = None
 
-    def _keep(self, txn: Txn, life: int) -> None:
-        txn.kept, txn.remembered_until = True, self.now + life
-        self.kept += 1
-        self.serial += 1
-        heapq.heappush(self.keys, (txn.remembered_until, self.serial, txn))
-
     def _expire(self) -> None:
         start = self.now - self.settings.get("instance.calls_over", 5_000_000)
         while self.keys and self.keys[0][0] <= self.now:
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -81,9 +81,9 @@
     host.pull()
     held = [host.read() for _ in range(3)]
     host.pull()
-    host.pass_time(100_000, busy=1.0, runnable=2)
+    host.pass_time(100_000, busy=1.0, runnable=3)
     assert not any(t.answered for t in held)
-    host.pass_time(250_000, busy=1.0, runnable=2)
+    host.pass_time(250_000, busy=1.0, runnable=3)
     assert host.answers[held[0].ref] == Verb.DECLINE
     assert not any(t.answered for t in running)
 
