Bound call waiters by what calls let through

Cause: with a ledger slow twice over, 850 loan-sets of 2,000 ran to their call, waited past their SLA time and were given up; and the bound of calls in hand fell to one although the ledger had room for twice as many. It should hold for any lack of room below; it could harm where calls come in bursts after a lull.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -33,11 +33,12 @@
 CROWDED = 1.3  # asking for a core, per core: above it the running cap shrinks
 CROWD_SHARE = 0.8  # of the crowd that the server survives
 MEMORY_SHARE = 0.92
+CALL_FLOOR = 0.4  # of the own share: less in hand than this does not make what lies below quicker
 CALL_SHARE = 0.9  # of the own share of calls below
 ALLOWED = 2.5  # txns a core out here at a welcome of 1, by allowance
 CALL_MATTERS = 0.1  # time at a call, of the SLA time, from which leaving it out saves something
 CALL_STALE = 2_000_000  # what was seen of calls this long ago says nothing of them now
-CALL_WAITERS = 2.0  # a core
+CALL_WAITERS = 0.4  # of the SLA time: more at a call than come through in it would wait for nothing
 STOP_MARGIN = 200_000  # before the process is killed
 TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
 SAME_PATIENCE = 20_000
@@ -167,7 +168,7 @@
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
         self.said: float | None = None
         self.speak_at, self.turned_away, self.read, self.unread = now, 0, 0, 0.0
-        self.healthy: bool | None = None
+        self.healthy = False
         self.calls_share = float(settings.get("instance.calls_out", 0.5))
         self.call_cap = max(1.0, 0.5 * self.calls_share)
         self.stream: Iterator[Decision] | None = None
@@ -235,8 +236,8 @@
         self._call_over(txn, linger=outcome in (Outcome.TIMEOUT, Outcome.RESET))
         kind.call_times.add(spent / kind.sla_time)
         slow = outcome != Outcome.OK or spent > kind.target
-        steps = max(1.0, self.call_cap * 0.85), min(self.calls_share, self.call_cap + 0.05)
-        self.call_cap = steps[0] if slow else steps[1]
+        cap = self.call_cap * 0.85 if slow else min(self.calls_share, self.call_cap + 0.05)
+        self.call_cap = max(1.0, CALL_FLOOR * self.calls_share, cap)
         if outcome == Outcome.OK:
             self._move(txn, Stage.RUNNING)
         else:
@@ -247,16 +248,13 @@
 
     def caller_gone(self, now: int, txn: Txn) -> None:
         self.now = now
-        if txn.stage == Stage.OVER:
-            return
         txn.answered = True
         if txn.stage in (Stage.HELD, Stage.JOINED):
             self._over(txn)
 
     def leave(self, now: int, budget: int) -> None:
         self.now = now
-        if self.leave_at is None:
-            self.leave_at = now
+        self.leave_at = now if self.leave_at is None else self.leave_at
         self.stop_at = now + budget
         self.speak_at = now
 
@@ -278,10 +276,9 @@
 
     def _decisions(self) -> Iterator[Decision]:
         now = self.now
-        healthy = self.leave_at is None
-        if healthy != self.healthy:
-            self.healthy = healthy
-            yield Decision(Verb.FITNESS, flag=healthy)
+        if self.healthy == (self.leave_at is not None):
+            self.healthy = not self.healthy
+            yield Decision(Verb.FITNESS, flag=self.healthy)
         self._expire()
         yield from self._answer_due()
         while self.doomed:
@@ -427,11 +424,9 @@
     def _run_held(self) -> Iterator[Decision]:
         strained = self.strained()
         limit = CROWD_SHARE * self._crowd()
-        waiters = int(CALL_WAITERS * self.cores)
         self.cap_binds = False
         while self._in_runs() + 1 <= limit:
-            crowded = self._in_runs() - self._on_cores() >= waiters
-            ranked = self._ranked(crowded)
+            ranked = self._ranked(running=True)
             self.cap_binds = bool(ranked) and self._on_cores() >= int(self.cap)
             if not ranked or self.cap_binds:
                 return
@@ -557,9 +552,18 @@
         # A later try may be past its SLA time already, which its patience need not show.
         return float(weight / work * (1.0, LATER_TRY, goal("over_share_value", 1.0))[line])
 
-    def _ranked(self, crowded: bool = False) -> list[tuple[float, int, deque[Txn]]]:
+    def _ranked(self, running: bool = False) -> list[tuple[float, int, deque[Txn]]]:
         return [(self._weigh(kind, number), -kind.number, line) for kind in self.products
-                for number, line in enumerate(kind.lines) if line and not (crowded and kind.calls)]
+                if not (running and self._crowded_below(kind))
+                for number, line in enumerate(kind.lines) if line]
+
+    def _crowded_below(self, kind: Product) -> bool:
+        """The bound of call waiters, for those that can't go on without: what the last calls let through."""
+        waiting = self._in_runs() - self._on_cores()
+        if not kind.calls or kind.skip_value > 0 or waiting < max(2, self.cores // 2):
+            return False
+        span: int = self.settings.get("instance.calls_over", 5_000_000)
+        return waiting >= CALL_WAITERS * kind.sla_time * len(self.past_calls) / span
 
     def _loss(self, txn: Txn) -> float:
         kind = self.products[txn.product]
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -278,3 +278,16 @@
     host.pull()
     host.pull()
     assert [txn.stage for txn in repeats] == [Stage.RUNNING, Stage.JOINED]
+
+
+def test_call_waiters_are_bound_by_what_calls_let_through() -> None:
+    # Guards against: runs that can't go on without the slow ledger piling up there until all are late.
+    host = Host(instance__skip_values=[0.0], instance__cores=4, instance__calls_out=1.0)
+    for _ in range(8):
+        txn = host.read()
+        host.pull()
+        if txn.ran:
+            host.brain.needs_call(host.now, txn)
+            host.pull()
+    assert len(host.at(Stage.PARKED, Stage.CALLING)) == 2
+    assert len(host.at(Stage.HELD)) == 6
