--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -36,7 +36,7 @@
 CALL_FLOOR = 0.4  # of the own share: less in hand than this does not make what lies below quicker
 CALL_SHARE = 0.9  # of the own share of calls below
 ALLOWED = 2.5  # txns a core out here at a welcome of 1, by allowance
-CALL_MATTERS = 0.1  # time at a call, of the SLA time, from which leaving it out saves something
+CALL_MATTERS = 0.15  # time at a call, of the SLA time, from which leaving it out saves something
 CALL_STALE = 2_000_000  # what was seen of calls this long ago says nothing of them now
 CALL_WAITERS = 0.4  # of the SLA time: more at a call than come through in it would wait for nothing
 STOP_MARGIN = 200_000  # before the process is killed
@@ -368,7 +368,9 @@
         now, probes = self.now, max(1, self.cores // 3)
         for kind in self.products:
             stop = now + kind.expiry if self.stop_at is None else self.stop_at - STOP_MARGIN
-            need = int(kind.run_times.quantile(HOPE) * kind.sla_time)
+            # With a core free a chance of half is worth a run; with a line it must be better than that.
+            hope = HOPE if self._on_cores() >= int(self.cap) else 0.5
+            need = int(kind.run_times.quantile(hope) * kind.sla_time)
             for line in kind.lines:
                 while line:
                     txn = line[0]
