Spread the advice to come back by chance, and shorten it

Cause: callers that were all told 1 s left cores idle, then came back in waves (117 txns read in one second, 19 in another). It could harm where few heed it and reading is dear.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -40,6 +40,7 @@
 CALL_STALE = 2_000_000  # what was seen of calls this long ago says nothing of them now
 CALL_WAITERS = 0.4  # of the SLA time: more at a call than come through in it would wait for nothing
 STOP_MARGIN = 200_000  # before the process is killed
+ADVICE = (0.1, 0.7)  # of the longest time to come back after
 TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
 SAME_PATIENCE = 20_000
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
@@ -319,7 +320,9 @@
         else:
             most = self.settings.get("limits.come_back_after", 0) if self.settings.get("limits.advice") else 0
             # Advice grows with the load: one decline must not close this instance to a caller for long.
-            yield Decision(Verb.DECLINE, txn, us=int(most * max(0.0, 1 - self.welcome) ** 2),
+            # Spread by chance, so that callers do not come back all at once.
+            after = most * max(0.0, 1 - self.welcome) ** 2 * self.chance.uniform(*ADVICE)
+            yield Decision(Verb.DECLINE, txn, us=int(after),
                            flag=not elsewhere and (txn.resent or self.welcome < TURN_ALL))
         if txn.kept and not txn.ran:
             txn.kept = False
