Keep the published value above a tenth

Cause: dead servers say nothing, so with live ones near nothing callers went to the dead. It should hold for any silent loss; it could harm where reading is dearest and no server is lost.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -41,6 +41,7 @@
 CALL_WAITERS = 0.4  # of the SLA time: more at a call than come through in it would wait for nothing
 STOP_MARGIN = 200_000  # before the process is killed
 ADVICE = (0.1, 0.7)  # of the longest time to come back after
+WELCOME_FLOOR = 0.1  # a dead server says nothing, and must not look the better for it
 TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
 SAME_PATIENCE = 20_000
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
@@ -462,7 +463,7 @@
             self.welcome = min(top, self.welcome * 1.5)
         elif not waiting:
             self.welcome = min(top, self.welcome * 1.1)
-        self.welcome = max(0.02, self.welcome)
+        self.welcome = max(WELCOME_FLOOR, self.welcome)
         self.turned_away, self.read, self.unread = 0, 0, 0.0
         level = 0.0 if self.leave_at is not None else self.welcome
         if how == "allowance":
