--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -42,6 +42,7 @@
 STOP_MARGIN = 200_000  # before the process is killed
 ADVICE = (0.1, 0.7)  # of the longest time to come back after
 WELCOME_FLOOR = 0.1  # a dead server says nothing, and must not look the better for it
+ALL_FULL = 0.2  # later tries among all, from which the others count as full too
 TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
 SAME_PATIENCE = 20_000
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
@@ -170,7 +171,7 @@
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
         self.said: float | None = None
         self.speak_at, self.turned_away, self.read, self.unread = now, 0, 0, 0.0
-        self.healthy = False
+        self.healthy, self.tries, self.later = False, 0.0, 0.0
         self.calls_share = float(settings.get("instance.calls_out", 0.5))
         self.call_cap = max(1.0, 0.5 * self.calls_share)
         self.stream: Iterator[Decision] | None = None
@@ -197,6 +198,7 @@
         heapq.heappush(self.dues, (due, self.serial, txn))
         kind.asked += 1
         self.read += 1
+        self.tries, self.later = self.tries * 0.99 + 1, self.later * 0.99 + resent
         self.unread = max(self.unread, age / kind.sla_time)
         if kind.asked > 256:
             kind.asked, kind.settled = kind.asked / 2, kind.settled / 2
@@ -324,7 +326,7 @@
             # Spread by chance, so that callers do not come back all at once.
             after = most * max(0.0, 1 - self.welcome) ** 2 * self.chance.uniform(*ADVICE)
             yield Decision(Verb.DECLINE, txn, us=int(after),
-                           flag=not elsewhere and (txn.resent or self.welcome < TURN_ALL))
+                           flag=not elsewhere and self._full_elsewhere(txn))
         if txn.kept and not txn.ran:
             txn.kept = False
             self.kept -= 1
@@ -571,6 +573,12 @@
         span: int = self.settings.get("instance.calls_over", 5_000_000)
         return waiting >= CALL_WAITERS * kind.sla_time * len(self.past_calls) / span
 
+    def _full_elsewhere(self, txn: Txn) -> bool:
+        """Later tries seen here tell that others decline too. Without them, idle servers may stand by."""
+        if not self.settings.get("clients.marks_resent"):
+            return self.welcome < TURN_ALL
+        return self.later > ALL_FULL * self.tries and (txn.resent or self.welcome < TURN_ALL)
+
     def _loss(self, txn: Txn) -> float:
         kind = self.products[txn.product]
         return 0.0 if txn.left_out else kind.value * (1 - kind.skip_value)
