Count others as full from 8 later tries in 100; histogram in a file of its own

It should hold for any lopsided load; it could harm where later tries are few because callers give up rather than because others have room.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+from limeridge.histogram import Histogram
 from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
 
 WINDOW = 20  # runs whose worst is an approach's cost
@@ -42,7 +43,7 @@
 STOP_MARGIN = 200_000  # before the process is killed
 ADVICE = (0.1, 0.7)  # of the longest time to come back after
 WELCOME_FLOOR = 0.1  # a dead server says nothing, and must not look the better for it
-ALL_FULL = 0.2  # later tries among all, from which the others count as full too
+ALL_FULL = 0.08  # later tries among all, from which the others count as full too
 TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
 SAME_PATIENCE = 20_000
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
@@ -50,29 +51,6 @@
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
-class Histogram:
-    """Shares of a whole, in coarse bins; halved when full so that old days fade."""
-
-    def __init__(self, keep: int) -> None:
-        self.counts = [0.0] * (len(EDGES) + 1)
-        self.total, self.keep = 0.0, keep
-
-    def add(self, share: float) -> None:
-        self.counts[next((i for i, edge in enumerate(EDGES) if share <= edge), len(EDGES))] += 1
-        self.total += 1
-        if self.total >= self.keep:
-            self.counts = [count / 2 for count in self.counts]
-            self.total /= 2
-
-    def quantile(self, q: float) -> float:
-        seen, below = 0.0, 0.0
-        for count, edge in zip(self.counts, (*EDGES, 2 * EDGES[-1]), strict=True):
-            if count and seen + count >= q * self.total:
-                return below + (edge - below) * (q * self.total - seen) / count
-            seen, below = seen + count, edge
-        return 0.0
-
-
 class Approach:
     """One rung: a run that leaves out as many optional calls as rungs stand above it."""
 
@@ -109,7 +87,7 @@
         self.ladder = [Approach()]
         if self.skip_value > 0:
             self.ladder.append(Approach())
-        self.run_times, self.answer_ages, self.call_times = Histogram(32), Histogram(32), Histogram(16)
+        self.run_times, self.answer_ages, self.call_times = (Histogram(EDGES, keep) for keep in (32, 32, 16))
         self.called_at = 0
         self.lines: tuple[deque[Txn], ...] = (deque(), deque(), deque())  # first, later tries, over share
         self.target, self.interval = int(TARGET * self.sla_time), int(INTERVAL * self.sla_time)
