Do not count tries that came too late as declines of the load

They also go nowhere else now: no other can be in time either. It should hold for any loss that makes tries late before they come.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -294,7 +294,9 @@
         if txn.answered or txn.stage == Stage.OVER:
             return
         txn.answered = True
-        self.turned_away += 1
+        # What came here past its SLA time says nothing of the load here, and no other can help it.
+        old = txn.sla_due <= txn.read
+        self.turned_away += not old
         # Rule 2: what has run, or joined what has, may have taken effect; never say that it never ran.
         if kind.kind != INQUIRY and (txn.ran or txn.stage == Stage.JOINED or self._prior_ran(txn)):
             yield Decision(Verb.VOID, txn)
@@ -304,7 +306,7 @@
             # Spread by chance, so that callers do not come back all at once.
             after = most * max(0.0, 1 - self.welcome) ** 2 * self.chance.uniform(*ADVICE)
             yield Decision(Verb.DECLINE, txn, us=int(after),
-                           flag=not elsewhere and self._full_elsewhere(txn))
+                           flag=old or (not elsewhere and self._full_elsewhere(txn)))
         if txn.kept and not txn.ran:
             txn.kept = False
             self.kept -= 1
