--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -291,3 +291,54 @@
             host.pull()
     assert len(host.at(Stage.PARKED, Stage.CALLING)) == 2
     assert len(host.at(Stage.HELD)) == 6
+
+
+def test_a_try_that_came_too_late_says_nothing_of_the_load_here() -> None:
+    # Guards against: idle servers that say "stay away" since dead ones made their callers' tries late.
+    host = Host(instance__say="weight", clients__marks_resent=True)
+    for _ in range(5):
+        host.finish(host.read(patience=2_000_000, caller=1))
+    host.pull()
+    old = host.read(patience=1_900_000, caller=1, resent=True)
+    host.pull()
+    decision = next(d for d in host.seen if d.txn is old)
+    assert (decision.verb, decision.flag) == (Verb.DECLINE, True)
+    host.pass_time(400_000)
+    assert host.brain.welcome == 1.0
+
+
+def test_first_tries_are_sent_elsewhere_until_later_ones_show_that_all_are_full() -> None:
+    # Guards against: callers of one site kept from idle servers of another.
+    for resent in (False, True):
+        host = Host(clients__marks_resent=True)
+        for _ in range(12):
+            host.read(resent=resent)
+            host.pull()
+        host.brain.welcome = 0.1
+        host.pass_time(400_000, busy=1.0, runnable=4)
+        flags = {d.flag for d in host.seen if d.verb == Verb.DECLINE}
+        assert flags == {resent}
+
+
+def test_a_free_core_runs_what_has_half_a_chance() -> None:
+    # Guards against: slow nodes that decline on reading, with cores free, what most runs would settle.
+    host = Host()
+    for took in (300_000, 300_000, 300_000, 980_000, 980_000):
+        run_one(host, took)
+    busy, txn = host.read(), host.read(age=300_000)
+    host.pull()
+    assert busy.ran
+    assert txn.ran
+
+
+def test_advice_to_come_back_is_spread() -> None:
+    # Guards against: callers that all come back at once, and cores idle until then.
+    host = Host()
+    host.brain.welcome = 0.1
+    for _ in range(12):
+        host.read()
+    host.pull()
+    host.pass_time(400_000, busy=1.0, runnable=4)
+    advice = {d.us for d in host.seen if d.verb == Verb.DECLINE}
+    assert len(advice) > 5
+    assert max(advice) <= 1_000_000
