--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -196,7 +196,7 @@
         if outcome != Outcome.MOOT and txn.stage not in (Stage.JOINED, Stage.HELD):
             elapsed = now - txn.started
             kind.report(txn, elapsed)
-            if outcome == Outcome.OK:
+            if outcome in (Outcome.OK, Outcome.CANCELLED):  # what was cut short would have taken longer yet
                 kind.run_times.add(elapsed / kind.sla_time)
                 kind.answer_ages.add((now - txn.arrived) / kind.sla_time)
         if outcome == Outcome.OK:
