Turn health bad while a line at the door is never caught up

It should hold against any reading that falls behind (floods, slow cores, handshakes); it could harm where reading alone hangs for a moment.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -43,6 +43,7 @@
 STOP_MARGIN = 200_000  # before the process is killed
 ADVICE = (0.1, 0.7)  # of the longest time to come back after
 WELCOME_FLOOR = 0.1  # a dead server says nothing, and must not look the better for it
+STUCK = 0.6  # of the SLA time, that all have waited unread where the line at the door is not caught up
 ALL_FULL = 0.08  # later tries among all, from which the others count as full too
 TURN_ALL = 0.25  # welcome under which callers are asked not to try elsewhere either
 SAME_PATIENCE = 20_000
@@ -142,13 +143,13 @@
         self.patience: dict[tuple[int, int], tuple[int, int]] = {}
         self.buckets: dict[int, tuple[float, int]] = {}
         self.serial = 0
-        self.busy, self.runnable, self.gauge_new = 0.0, 0.0, False
+        self.busy, self.runnable, self.gauge_new, self.stuck = 0.0, 0.0, False, False
         self.wake_at: int | None = None
         self.leave_at: int | None = None
         self.stop_at: int | None = None
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
         self.said: float | None = None
-        self.speak_at, self.turned_away, self.read, self.unread = now, 0, 0, 0.0
+        self.speak_at, self.turned_away, self.read, self.unread, self.unread_least = now, 0, 0, 0.0, 9.0
         self.healthy, self.tries, self.later = False, 0.0, 0.0
         self.calls_share = float(settings.get("instance.calls_out", 0.5))
         self.call_cap = max(1.0, 0.5 * self.calls_share)
@@ -174,10 +175,10 @@
         self.memory += size_kb
         self.serial += 1
         heapq.heappush(self.dues, (due, self.serial, txn))
-        kind.asked += 1
-        self.read += 1
+        kind.asked, self.read = kind.asked + 1, self.read + 1
         self.tries, self.later = self.tries * 0.99 + 1, self.later * 0.99 + resent
-        self.unread = max(self.unread, age / kind.sla_time)
+        waited = age / kind.sla_time
+        self.unread, self.unread_least = max(self.unread, waited), min(self.unread_least, waited)
         if kind.asked > 256:
             kind.asked, kind.settled = kind.asked / 2, kind.settled / 2
         if self.leave_at is not None and landed > self.leave_at + self.settings.get("rules.drain_grace", 0):
@@ -235,14 +236,12 @@
             self._over(txn)
 
     def leave(self, now: int, budget: int) -> None:
-        self.now = now
+        self.now = self.speak_at = now
         self.leave_at = now if self.leave_at is None else self.leave_at
         self.stop_at = now + budget
-        self.speak_at = now
 
     def woke(self, now: int, ref: int, gauges: Mapping[str, float]) -> None:
-        self.now = now
-        self.wake_at = None
+        self.now, self.wake_at = now, None
         self.busy = gauges.get("busy", self.busy)
         self.runnable = gauges.get("runnable", self.runnable)
         self.gauge_new = True
@@ -252,13 +251,13 @@
     def decide(self) -> Decision | None:
         if self.stream is None:
             self.stream = self._decisions()
-        if (decision := next(self.stream, None)) is None:
-            self.stream = None
+        decision = next(self.stream, None)
+        self.stream = None if decision is None else self.stream
         return decision
 
     def _decisions(self) -> Iterator[Decision]:
         now = self.now
-        if self.healthy == (self.leave_at is not None):
+        if self.healthy == (self.leave_at is not None or self.stuck):
             self.healthy = not self.healthy
             yield Decision(Verb.FITNESS, flag=self.healthy)
         self._expire()
@@ -274,7 +273,8 @@
         yield from self._run_held()
         if now >= self.speak_at:
             yield from self._speak()
-        if self.wake_at is None and (self.dues or self.leave_at is not None or self.welcome < 1):
+        awake = self.dues or self.stuck or self.welcome < 1 or self.leave_at is not None
+        if awake and self.wake_at is None:
             self.wake_at = now + TICK
             yield Decision(Verb.WAKE, us=self.wake_at)
 
@@ -305,7 +305,7 @@
             # Advice grows with the load: one decline must not close this instance to a caller for long.
             # Spread by chance, so that callers do not come back all at once.
             after = most * max(0.0, 1 - self.welcome) ** 2 * self.chance.uniform(*ADVICE)
-            yield Decision(Verb.DECLINE, txn, us=int(after),
+            yield Decision(Verb.DECLINE, txn, us=most if self.stuck else int(after),
                            flag=old or (not elsewhere and self._full_elsewhere(txn)))
         if txn.kept and not txn.ran:
             txn.kept = False
@@ -446,8 +446,11 @@
         elif not waiting:
             self.welcome = min(top, self.welcome * 1.1)
         self.welcome = max(WELCOME_FLOOR, self.welcome)
-        self.turned_away, self.read, self.unread = 0, 0, 0.0
-        level = 0.0 if self.leave_at is not None else self.welcome
+        # Against a line at the door that is never caught up: all that is read is late, so none is lost by
+        # bad health and a value of 0 until it is. It could harm where reading alone hangs for a moment.
+        self.stuck = self.read > 0 and self.unread_least > (TARGET if self.stuck else STUCK)
+        self.turned_away, self.read, self.unread, self.unread_least = 0, 0, 0.0, 9.0
+        level = 0.0 if self.leave_at is not None or self.stuck else self.welcome
         if how == "allowance":
             level *= ALLOWED * self.cores / max(1, self.settings.get("instance.callers", 1))
         elif how == "floor":
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -342,3 +342,15 @@
     advice = {d.us for d in host.seen if d.verb == Verb.DECLINE}
     assert len(advice) > 5
     assert max(advice) <= 1_000_000
+
+
+def test_a_door_that_is_never_caught_up_turns_health_bad_until_it_is() -> None:
+    # Guards against: a server that reads seconds behind, finds all too late, and so settles nothing for good.
+    host = Host(instance__say="weight")
+    for _ in range(8):
+        host.read(age=900_000)
+        host.pull()
+        host.pass_time(100_000, busy=1.0, runnable=4)
+    assert [d.flag for d in host.seen if d.verb == Verb.FITNESS] == [True, False]
+    host.pass_time(5_000_000, busy=0.1, runnable=0)
+    assert [d.flag for d in host.seen if d.verb == Verb.FITNESS] == [True, False, True]
