--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -331,6 +331,29 @@
     assert txn.ran
 
 
+def test_memory_and_a_cold_start_bound_what_runs() -> None:
+    tight = {"instance__memory_kb": 500.0}
+    cold = {"instance__cold": True, "rules__overload_factor": 1.2}
+    for changes, most in ((tight, 2), (cold, 3), ({}, 4)):
+        host = Host(instance__cores=4, **changes)
+        for _ in range(12):
+            host.read(size_kb=25.0)
+            host.pull()
+        assert len(host.at(Stage.RUNNING)) == most
+
+
+def test_a_run_keeps_its_approach_and_leaves_a_failed_call_out() -> None:
+    host = Host()
+    txn = host.read()
+    host.pull()
+    host.brain.products[0].ladder[0].active = False
+    host.brain.needs_call(host.now, txn)
+    assert verbs(host.pull(), txn) == [Verb.CALL]
+    host.call_ends(txn, Outcome.ERROR)
+    assert verbs(host.pull(), txn) == [Verb.SKIP]
+    assert txn.approach == 0
+
+
 def test_advice_to_come_back_is_spread() -> None:
     # Guards against: callers that all come back at once, and cores idle until then.
     host = Host()
