--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -100,6 +100,9 @@
             return 0
         return next(i for i, approach in enumerate(self.ladder) if approach.active)
 
+    def hold(self, txn: Txn) -> None:
+        self.lines[2 if txn.over_share else txn.resent].append(txn)
+
     def work(self) -> float:
         return max(0.02, self.run_times.quantile(0.5)) * self.sla_time / 1e6
 
@@ -186,7 +189,7 @@
         elif kind.kind == REFERENCED:
             self.repeats.append(txn)
         else:
-            kind.lines[2 if txn.over_share else txn.resent].append(txn)
+            kind.hold(txn)
         return txn
 
     def ended(self, now: int, txn: Txn, outcome: Outcome, spent: int) -> None:
@@ -347,7 +350,7 @@
                     self.serial += 1
                     heapq.heappush(self.keys, (txn.remembered_until, self.serial, txn))
                     yield Decision(Verb.MEMO, txn, us=life)
-                self.products[txn.product].lines[2 if txn.over_share else txn.resent].append(txn)
+                self.products[txn.product].hold(txn)
 
     def _trim_hold(self) -> Iterator[Decision]:
         """The hold rule: what waits past the target over an interval goes, from the front."""
