--- /dev/null
+++ b/limeridge/__main__.py
@@ -0,0 +1,26 @@
+"""`python -m limeridge`: starts one service instance.
+
+It owns the way from the configuration to the running program and the exit codes: 0 after a drain, 1 where the
+address can't be listened on, 2 for bad configuration, told in one line. It must never do the program's work.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from limeridge.config import Unusable, path_from, read
+
+
+def main() -> int:
+    try:
+        setup = read(path_from())
+    except Unusable as unusable:
+        print(f"limeridge: {' '.join(str(unusable).split())}", file=sys.stderr)
+        return 2
+    from limeridge.net.service import run
+
+    return run(setup)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/limeridge/facade.py
@@ -0,0 +1,456 @@
+"""The brain in blocking style: `pick` waits until a txn may run or has its final answer, `report` tells how
+a run or call went and gives the next step, `tick` moves time.
+
+It owns the one Brain of the instance, the txns that are open, the keys and results kept for repeats, and the
+guard that a txn gets one final answer. It must never decide (that is the brain's), open a socket or read the
+Unix clock: its time is the clock that it is given, and whoever calls it sees steps and answers alone.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred, succeed
+
+from limeridge.brain import Brain
+from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
+from limeridge.words import GAUGES
+
+RESULTS_KEPT = 8 << 20  # bytes of results kept for repeats; the oldest go first, their keys stay
+OVERDUE = 20_000  # past the due time the guard answers what the brain did not, against a defect there
+RECOVER = 0.05  # seconds after a defect until the brain is asked again
+
+
+class Do(Enum):
+    """What a txn's handler does next."""
+
+    RUN = "run"
+    CALL = "call"  # with `time_out` in microseconds
+    GO_ON = "go on without the call"
+    WAIT = "wait for news of the run"
+    DONE = "done"
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    do: Do
+    time_out: int = 0
+
+
+class End(Enum):
+    """How a run or a call went, in words of what it proves."""
+
+    OK = "ok"
+    FAILED = "failed"  # it ran, or may have
+    FULL = "full"  # turned away unseen
+    TIMED_OUT = "timed out"
+    UNREACHED = "unreached"  # no connection: nothing ran
+    BROKEN = "broken"  # proves nothing
+    STOPPED = "stopped"
+    NEVER_BEGAN = "never began"
+
+
+OUTCOMES = {
+    End.OK: Outcome.OK, End.FAILED: Outcome.ERROR, End.FULL: Outcome.FULL, End.TIMED_OUT: Outcome.TIMEOUT,
+    End.UNREACHED: Outcome.CONNECT_FAILED, End.BROKEN: Outcome.RESET, End.STOPPED: Outcome.CANCELLED,
+    End.NEVER_BEGAN: Outcome.MOOT,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """A run is over; `doc` is its result as it came."""
+
+    end: End
+    doc: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Blocked:
+    """A run waits for the call with this body, asked for in notice `cursor`."""
+
+    cursor: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Called:
+    """A call is over after `spent` microseconds."""
+
+    end: End
+    spent: int
+    body: bytes = b""
+
+
+News = Ended | Blocked | Called
+
+
+class Kind(Enum):
+    SETTLED = "settled"
+    DECLINED = "declined"
+    VOIDED = "voided"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The final answer of a txn."""
+
+    kind: Kind
+    doc: str = ""
+    come_back: int = 0  # microseconds to stay away
+    not_elsewhere: bool = False
+    why: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Intake:
+    """A txn as it was read: `age` and `patience` are microseconds at the reading, `doc` stays as it came."""
+
+    ref: str
+    product: int
+    customer: int
+    caller: int
+    age: int
+    patience: int
+    size_kb: float
+    doc: str
+    answer: Callable[[Answer], None]
+    resent: bool = False
+    effort: int = 0
+    key: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """What the facade holds of an open or remembered txn."""
+
+    intake: Intake
+    txn: Txn
+    pending: Deferred[Step] | None = None
+    step: Step | None = None  # decided, not handed out yet
+    answered: bool = False
+    joined: list[Entry] = field(default_factory=list)  # repeats that wait for its end
+    prior: Entry | None = None  # the try whose result this one shares
+    result: str | None = None
+
+
+class LogSink(Protocol):
+    def event(self, event: str, code: str = "", **fields: object) -> None: ...
+    def fault(self, event: str, trouble: BaseException, code: str = "exception", **fields: object) -> None: ...
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Clock(Protocol):
+    def seconds(self) -> float: ...
+    def callLater(self, delay: float, call: Callable[[], None], /) -> Timer: ...  # noqa: N802
+
+
+class Facade:
+    """`wake` is called when the brain wants a tick; whoever gets it calls `tick` soon, with gauges if it can."""
+
+    def __init__(self, plain: Mapping[str, Any], seed: int, clock: Any, log: LogSink,
+                 wake: Callable[[], None]) -> None:
+        self.plain, self.seed, self.clock, self.log, self.wake = dict(plain), seed, clock, log, wake
+        self.gauges = [GAUGES.get(name, name) for name in str(plain.get("instance.gauges", "")).split(",")]
+        self.healthy = False
+        self.value: float | None = None
+        self.idle_limit = int(plain.get("instance.idle", 0))
+        self.serial = 0
+        self.open: dict[int, Entry] = {}
+        self.by_ref: dict[str, Entry] = {}
+        self.keys: dict[tuple[int, str], tuple[Entry, int]] = {}  # the try that has the key, and until when
+        self.keyed: dict[int, Entry] = {}
+        self.prune_at = 256
+        self.results: OrderedDict[Entry, int] = OrderedDict()
+        self.results_size = 0
+        self.timer: Any = None
+        self.pulling = False
+        self.touched: list[Entry] = []
+        self.ready_joins: list[Entry] = []
+        self.brain = Brain(self.plain, seed, self.now())
+        self._pull()
+
+    def now(self) -> int:
+        return int(self.clock.seconds() * 1_000_000)
+
+    # ---- what the network code calls
+
+    def boot(self, cold: bool, ago: int) -> None:
+        """The kernel came up `ago` microseconds ago. Speed and crowd count from then, not from our own start."""
+        if self.serial:
+            return
+        self.plain["instance.cold"] = cold
+        self.brain = Brain(self.plain, self.seed, self.now() - ago)
+        self.brain.now = self.now()
+        self._cancel_timer()
+        self._pull()
+
+    def pick(self, intake: Intake) -> Deferred[Step]:
+        """Waits until the txn may run (RUN) or needs nothing more (DONE): its answer went out by then."""
+        now = self.now()
+        self.serial += 1
+        prior = self._prior(intake, now)
+        try:
+            txn = self.brain.arrived(
+                now, self.serial, intake.product, customer=intake.customer, caller=intake.caller,
+                patience=intake.patience, age=intake.age, size_kb=intake.size_kb, resent=intake.resent,
+                prior=prior.txn if prior else None, repeat=prior is not None, effort=intake.effort)
+        except Exception as trouble:
+            self.log.fault("txn-fault", trouble, ref=intake.ref)
+            intake.answer(Answer(Kind.VOIDED, why="defect"))
+            return succeed(Step(Do.DONE))
+        entry = Entry(intake, txn)
+        self.open[self.serial] = self.by_ref[intake.ref] = entry
+        if intake.key:
+            self._remember(entry, now)
+        return self._hand_out(entry)
+
+    def report(self, intake: Intake, news: News) -> Deferred[Step]:
+        """How a run or a call went; waits for the next step, WAIT where none is due before more news."""
+        entry = self.by_ref.get(intake.ref)
+        if entry is None or entry.intake is not intake:
+            return succeed(Step(Do.DONE))
+        now, txn = self.now(), entry.txn
+        try:
+            if isinstance(news, Blocked):
+                self.brain.needs_call(now, txn)
+            elif isinstance(news, Called):
+                self.brain.call_ended(now, txn, OUTCOMES[news.end], news.spent)
+            else:
+                self._end(entry, news, now)
+        except Exception as trouble:
+            self.log.fault("txn-fault", trouble, ref=intake.ref)
+            self._final(entry, Answer(Kind.VOIDED, why="defect"))
+        return self._hand_out(entry)
+
+    def interrupt(self, intake: Intake) -> None:
+        """More news of a run came while `report` still waits: let go of it, the handler must read the news."""
+        entry = self.by_ref.get(intake.ref)
+        if entry is not None and entry.pending is not None and entry.txn.ran and entry.step is None:
+            entry.step = Step(Do.WAIT)
+            self._hand_over(entry)
+
+    def gone(self, intake: Intake) -> None:
+        """The caller waits no more: no answer is owed."""
+        entry = self.by_ref.get(intake.ref)
+        if entry is not None and not entry.answered and entry.intake is intake:
+            entry.answered = True
+            self.brain.caller_gone(self.now(), entry.txn)
+            self.touched.append(entry)
+            self._pull()
+
+    def give_up(self, intake: Intake, why: str) -> None:
+        """The handler met a defect: the txn is answered as voided, whatever else is known of it."""
+        entry = self.by_ref.get(intake.ref)
+        if entry is not None and entry.intake is intake:
+            self._final(entry, Answer(Kind.VOIDED, why=why))
+            self.brain.caller_gone(self.now(), entry.txn)
+            self.touched.append(entry)
+            self._pull()
+
+    def turn_back(self, intake: Intake, why: str) -> None:
+        """A txn that is not taken in at all; the brain never hears of it."""
+        intake.answer(Answer(Kind.VOIDED, why=why))
+
+    def tick(self, now: int, gauges: Sequence[float] | None) -> None:
+        """Moves time; `gauges` in the settings' order, None where none could be had."""
+        told = dict(zip(self.gauges, gauges, strict=False)) if gauges else {}
+        try:
+            self.brain.woke(now, 1, told)
+        except Exception as trouble:
+            self.log.fault("tick-fault", trouble)
+        for entry in list(self.open.values()):
+            if not entry.answered and entry.txn.due + OVERDUE < now:
+                self.log.event("overdue", "guard", ref=entry.intake.ref)
+                self.give_up(entry.intake, "overdue")
+        self._pull()
+
+    def leave(self, budget: int) -> None:
+        """The notice to leave; the process is killed `budget` microseconds from now."""
+        self.brain.leave(self.now(), budget)
+        self._pull()
+
+    def owed(self) -> int:
+        """Txns without a final answer whose callers still wait."""
+        return sum(not entry.answered for entry in self.open.values())
+
+    # ---- the brain's decisions
+
+    def _hand_out(self, entry: Entry) -> Deferred[Step]:
+        waiting: Deferred[Step] = Deferred()
+        entry.pending = waiting
+        self.touched.append(entry)
+        self._pull()
+        return waiting
+
+    def _pull(self) -> None:
+        """Asks the brain until it has no more to say, then lets handlers go on: none may call into the
+        brain while it is being asked."""
+        if self.pulling:
+            return
+        self.pulling = True
+        try:
+            while True:
+                while (decision := self.brain.decide()) is not None:
+                    self._carry_out(decision)
+                if not self.ready_joins:
+                    break
+                self._end_join(self.ready_joins.pop())
+        except Exception as trouble:
+            self.log.fault("brain-fault", trouble)
+            self._arm(RECOVER)
+        finally:
+            self.pulling = False
+        while self.touched:
+            self._hand_over(self.touched.pop())
+
+    def _hand_over(self, entry: Entry) -> None:
+        """Fires what a handler waits for, if its txn has come that far."""
+        stage = entry.txn.stage
+        over = stage is Stage.OVER
+        if over:
+            self.open.pop(entry.txn.ref, None)
+            if self.by_ref.get(entry.intake.ref) is entry:
+                del self.by_ref[entry.intake.ref]
+        if entry.pending is None:
+            return
+        if over:
+            step = Step(Do.DONE)
+        elif entry.step is not None:
+            step = entry.step
+        elif stage in (Stage.HELD, Stage.JOINED) or (stage is Stage.PARKED and not entry.answered):
+            return
+        else:
+            step = Step(Do.WAIT)
+        entry.step = None
+        waiting, entry.pending = entry.pending, None
+        waiting.callback(step)
+
+    def _carry_out(self, decision: Decision) -> None:
+        entry = None if decision.txn is None else self.open.get(decision.txn.ref)
+        verb = decision.verb
+        if verb is Verb.WAKE:
+            self._arm(max(0, decision.us - self.now()) / 1_000_000)
+        elif verb is Verb.FITNESS:
+            self.healthy = decision.flag
+        elif verb is Verb.PUBLISH:
+            self.value = decision.level
+        elif verb is Verb.IDLE_LIMIT:
+            self.idle_limit = decision.us or int(self.plain.get("instance.idle", 0))
+        elif verb is Verb.NOTE:
+            self.log.event("note", text=decision.text)
+        elif entry is None:
+            return
+        elif verb is Verb.DECLINE:
+            self._final(entry, Answer(Kind.DECLINED, come_back=decision.us, not_elsewhere=decision.flag))
+        elif verb is Verb.VOID:
+            self._final(entry, Answer(Kind.VOIDED, why="given up"))
+        elif verb is Verb.RUN:
+            entry.step = Step(Do.RUN)
+        elif verb is Verb.CALL:
+            entry.step = Step(Do.CALL, decision.us)
+        elif verb is Verb.SKIP:
+            entry.step = Step(Do.GO_ON)
+        elif verb is Verb.MEMO:
+            self.keys[entry.intake.product, entry.intake.key] = entry, self.now() + decision.us
+        elif verb is Verb.FORGET:
+            key = (entry.intake.product, entry.intake.key)
+            if key in self.keys and self.keys[key][0] is entry:
+                del self.keys[key]
+        elif verb is Verb.ATTACH:
+            self._join(entry)
+        # HALT: the kernel's protocol has no such command; the run goes on to its end, which frees its place.
+        if entry is not None:
+            self.touched.append(entry)
+
+    def _final(self, entry: Entry, answer: Answer) -> None:
+        if entry.answered:
+            return
+        entry.answered = True
+        try:
+            entry.intake.answer(answer)
+        except Exception as trouble:
+            self.log.fault("answer-fault", trouble, ref=entry.intake.ref)
+
+    def _end(self, entry: Entry, news: Ended, now: int) -> None:
+        if news.end is End.OK:
+            self._final(entry, Answer(Kind.SETTLED, doc=news.doc))
+            if entry.intake.key:
+                self._keep_result(entry, news.doc)
+        else:
+            self._final(entry, Answer(Kind.VOIDED, why=f"run {news.end.value}"))
+        self.brain.ended(now, entry.txn, OUTCOMES[news.end], 0)
+        self.ready_joins += entry.joined
+        entry.joined = []
+
+    # ---- keys, repeats, results
+
+    def _prior(self, intake: Intake, now: int) -> Entry | None:
+        """The txn that this one repeats: still open here, or kept beyond this one's arrival."""
+        if not intake.key:
+            return None
+        entry, until = self.keys.get((intake.product, intake.key), (None, 0))
+        if entry is None or (entry.txn.stage is Stage.OVER and until <= now - intake.age):
+            return None
+        return entry
+
+    def _remember(self, entry: Entry, now: int) -> None:
+        """From the reading on, kept or not: two that are read together must know of each other."""
+        key = (entry.intake.product, entry.intake.key)
+        known = self.keys.get(key)
+        if known is None or (known[0].txn.stage is Stage.OVER and known[1] <= now - entry.intake.age):
+            self.keys[key] = entry, now
+        self.keyed[entry.txn.ref] = entry
+        if len(self.keyed) > self.prune_at:
+            self.keys = {key: kept for key, kept in self.keys.items()
+                         if kept[1] > now or kept[0].txn.stage is not Stage.OVER}
+            kept_on = {kept.txn.ref for kept, _ in self.keys.values()}
+            self.keyed = {ref: kept for ref, kept in self.keyed.items()
+                          if ref in kept_on or kept.txn.stage is not Stage.OVER}
+            self.prune_at = 2 * len(self.keyed) + 256
+
+    def _keep_result(self, entry: Entry, doc: str) -> None:
+        entry.result = doc
+        self.results[entry] = len(doc)
+        self.results_size += len(doc)
+        while self.results_size > RESULTS_KEPT:
+            oldest, size = self.results.popitem(last=False)
+            self.results_size -= size
+            oldest.result = None  # its repeats are voided from now on: it ran
+
+    def _join(self, entry: Entry) -> None:
+        """Which try it repeats is the brain's to say: a dead one's place may have gone to another since."""
+        entry.prior = None if entry.txn.prior is None else self.keyed.get(entry.txn.prior.ref)
+        if entry.prior is not None and entry.prior.txn.stage is not Stage.OVER:
+            entry.prior.joined.append(entry)
+        else:
+            self.ready_joins.append(entry)
+
+    def _end_join(self, entry: Entry) -> None:
+        """A repeat ends with what the txn it joined came to."""
+        if entry.txn.stage is not Stage.OVER:
+            result = entry.prior.result if entry.prior is not None else None
+            self._end(entry, Ended(End.FAILED) if result is None else Ended(End.OK, result), self.now())
+            self.touched.append(entry)
+
+    # ---- time
+
+    def _arm(self, delay: float) -> None:
+        self._cancel_timer()
+        self.timer = self.clock.callLater(delay, self._woke)
+
+    def _woke(self) -> None:
+        self.timer = None
+        self.wake()
+
+    def _cancel_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- /dev/null
+++ b/limeridge/net/__init__.py
@@ -0,0 +1,1 @@
+"""The sockets of a real service instance. Nothing is decided here."""
--- /dev/null
+++ b/limeridge/net/callers.py
@@ -0,0 +1,481 @@
+"""The callers' side: framed JSON-RPC 2.0 on the listening socket, health checks, farewells, idle limits.
+
+It owns the parser of frames, the one decoding of each message into a typed value and the one encoding of each
+answer, and the bounds on connections, open txns and unread output. It must never judge a txn (that is asked
+of the service that it is given) nor keep a reference to one that was answered.
+"""
+
+from __future__ import annotations
+
+import binascii
+import math
+import socket
+import time
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import orjson
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol as Wire
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from limeridge.facade import Answer, Intake, Kind
+from limeridge.net.log import Log
+
+HEAD_MOST = 1_024  # bytes of a head
+BODY_MOST = 16_384  # bytes of a message: a body of 2 KiB in base64 and its fields take under a third of it
+DOC_MOST = 2_048
+OPEN_MOST = 32  # txns open on a connection
+IDS_KEPT = 256  # ids of a connection that are still known after their answer
+UNREAD_MOST = 262_144  # bytes of answers that a peer may leave unread; 32 answers fit
+CLOSE_AFTER = 1.0  # seconds that a peer gets to close after a farewell on an idle connection
+SWEEP = 0.1  # seconds between two looks for idle connections
+
+PARSE, INVALID, NO_METHOD, BAD_FIELD = -32700, -32600, -32601, -32602
+DECLINED, VOIDED = -32008, -32000
+
+FAREWELL = b'{"jsonrpc":"2.0","method":"farewell"}'
+
+
+class BadFrame(Exception):
+    """The framing can't be trusted any more; the text is the reason code of the connection's end."""
+
+
+class Frames:
+    """`Content-Length` frames out of bytes that come split and joined anywhere."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.need = -1  # the length of the body that is awaited, once its head is read
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        self.data += data
+        while True:
+            if self.need < 0:
+                end = self.data.find(b"\r\n\r\n", 0, HEAD_MOST)
+                if end < 0:
+                    if len(self.data) >= HEAD_MOST or not self._plausible():
+                        raise BadFrame("bad-head")
+                    return
+                self.need = length_of(bytes(self.data[:end]))
+                del self.data[: end + 4]
+            if len(self.data) < self.need:
+                return
+            body = bytes(self.data[: self.need])
+            del self.data[: self.need]
+            self.need = -1
+            yield body
+
+    def _plausible(self) -> bool:
+        """Against a peer that speaks something else, which would sit there unanswered."""
+        return all(32 <= byte < 127 or byte in b"\r\n\t" for byte in self.data[:64])
+
+
+def length_of(head: bytes) -> int:
+    length = -1
+    for line in head.split(b"\r\n"):
+        name, colon, value = line.partition(b":")
+        if not colon:
+            raise BadFrame("bad-head")
+        if name.strip().lower() == b"content-length":
+            digits = value.strip()
+            if length >= 0 or not digits.isdigit() or len(digits) > 9:
+                raise BadFrame("bad-length")
+            length = int(digits)
+    if length < 0:
+        raise BadFrame("no-length")
+    if length > BODY_MOST:
+        raise BadFrame("oversize")
+    return length
+
+
+def frame(body: bytes) -> bytes:
+    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+# ---- messages
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A txn to be judged; all but the answer's way back."""
+
+    id: int
+    ref: str
+    product: int
+    customer: int
+    caller: int
+    landed: int  # Unix milliseconds
+    patience: float  # milliseconds from then
+    resent: bool
+    effort: float  # milliseconds
+    size_kb: float
+    key: str
+    doc: str
+
+
+@dataclass(slots=True, frozen=True)
+class Revoke:
+    id: int
+    ref: str
+
+
+@dataclass(slots=True, frozen=True)
+class Heartbeat:
+    id: int
+    deep: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """A message that can't be served, and what to answer."""
+
+    id: int | None
+    code: int
+    why: str
+
+
+class Unfit(Exception):
+    def __init__(self, code: int, why: str) -> None:
+        super().__init__(why)
+        self.code = code
+
+
+Message = Ask | Revoke | Heartbeat | Fault
+
+
+class Decoder:
+    """Bytes to one of the typed messages; names become numbers in the settings' order."""
+
+    def __init__(self, plain: Mapping[str, Any]) -> None:
+        def names(group: str) -> dict[str, int]:
+            return {str(plain.get(f"{group}.{i}.name", i)): i for i in range(plain.get(f"{group}.count", 0))}
+
+        self.products, self.customers = names("products"), names("customers")
+
+    def decode(self, body: bytes) -> Message:
+        try:
+            value = orjson.loads(body)
+        except orjson.JSONDecodeError:
+            return Fault(None, PARSE, "not JSON")
+        if not isinstance(value, dict):
+            return Fault(None, INVALID, "no batches" if isinstance(value, list) else "not an object")
+        number = value.get("id")
+        known = number if is_whole(number) and 1 <= number < 1 << 53 else None
+        try:
+            return self._decode(value, known)
+        except Unfit as unfit:
+            return Fault(known, unfit.code, str(unfit))
+
+    def _decode(self, value: dict[str, Any], number: int | None) -> Message:
+        if value.get("jsonrpc") != "2.0":
+            raise Unfit(INVALID, "jsonrpc is not 2.0")
+        method, params = value.get("method"), value.get("params", {})
+        if not isinstance(method, str):
+            raise Unfit(INVALID, "no method")
+        if not isinstance(params, dict):
+            raise Unfit(BAD_FIELD, "params is not an object")
+        if method == "revoke":
+            ref, target = params.get("i", ""), params.get("id", value.get("id"))
+            return Revoke(target if is_whole(target) else 0, ref if isinstance(ref, str) else "")
+        if number is None:
+            raise Unfit(INVALID, "id is not a number from 1")
+        if method == "heartbeat":
+            return Heartbeat(number, params.get("x") in (True, 1))
+        if method not in self.products:
+            raise Unfit(NO_METHOD, "unknown class")
+        return self._ask(number, self.products[method], params)
+
+    def _ask(self, number: int, product: int, params: dict[str, Any]) -> Ask:
+        ref, doc = text(params, "i", 16), text(params, "doc", 4 * (DOC_MOST + 2) // 3 + 4)
+        if len(ref) != 16 or not set(ref) <= set("0123456789abcdefABCDEF"):
+            raise Unfit(BAD_FIELD, "i is not 16 hex digits")
+        try:
+            size = len(binascii.a2b_base64(doc, strict_mode=True)) if doc else 0
+        except (binascii.Error, ValueError):
+            raise Unfit(BAD_FIELD, "doc is not base64") from None
+        if size > DOC_MOST:
+            raise Unfit(BAD_FIELD, "doc is too long")
+        customer = text(params, "t", 256, "")
+        if customer and customer not in self.customers:
+            raise Unfit(BAD_FIELD, "unknown tenant")
+        figure(params, "p", 0, 1, 0.0)
+        return Ask(
+            number, ref, product, self.customers.get(customer, 0),
+            int(figure(params, "f", 0, 1 << 53, 0)), int(figure(params, "s", 0, 1 << 53)),
+            figure(params, "d", 0, 1e9, 0), params.get("r") in (1, True), figure(params, "h", 0, 1e9, 0),
+            figure(params, "m", 0, 2_000, 0), text(params, "k", 256, ""), doc)
+
+
+def is_whole(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def text(params: dict[str, Any], name: str, most: int, default: str | None = None) -> str:
+    value = params.get(name, default)
+    if not isinstance(value, str) or len(value) > most:
+        raise Unfit(BAD_FIELD, f"{name} is no text of up to {most} characters")
+    return value
+
+
+def figure(params: dict[str, Any], name: str, least: float, most: float, default: float | None = None) -> float:
+    value = params.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most \
+            or not math.isfinite(value):
+        raise Unfit(BAD_FIELD, f"{name} is no number from {least:g} to {most:g}")
+    return value
+
+
+def encode_answer(number: int, answer: Answer, value: float | None) -> bytes:
+    data: dict[str, object] = {} if value is None else {"v": value}
+    if answer.kind is Kind.SETTLED:
+        return frame(orjson.dumps({"jsonrpc": "2.0", "id": number, "result": {"doc": answer.doc} | data}))
+    if answer.kind is Kind.VOIDED:
+        return encode_error(number, VOIDED, answer.why or "failed", data)
+    if answer.come_back > 0:
+        data["w"] = answer.come_back / 1_000
+    if answer.not_elsewhere:
+        data["l"] = 1
+    return encode_error(number, DECLINED, answer.why or "turned away", data)
+
+
+def encode_error(number: int | None, code: int, why: str, data: dict[str, object]) -> bytes:
+    error: dict[str, object] = {"code": code, "message": why}
+    if data:
+        error["data"] = data
+    return frame(orjson.dumps({"jsonrpc": "2.0", "id": number, "error": error}))
+
+
+# ---- connections
+
+
+class Service(Protocol):
+    """What the callers' side asks of whoever wires it up."""
+
+    leaving: bool
+
+    def serve(self, intake: Intake) -> None: ...
+    def gone(self, intake: Intake) -> None: ...
+    def value(self) -> float | None: ...
+    def idle_limit(self) -> int: ...
+    def check(self, deep: bool, answer: Callable[[bool], None]) -> None: ...
+
+
+@implementer(IPushProducer)
+class Connection(Wire):
+    """One connection of a caller."""
+
+    def __init__(self, callers: Callers) -> None:
+        self.callers = callers
+        self.frames = Frames()
+        self.open: dict[int, Intake] = {}
+        self.seen: dict[int, None] = {}
+        self.backlog: list[bytes] = []  # answers that the peer does not read yet
+        self.backlog_size = 0
+        self.stalled = False
+        self.asked = 0
+        self.heard = callers.clock.seconds()
+        self.farewell_at: float | None = None
+        self.code = ""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.callers.joined(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.code:
+            return
+        self.heard = self.callers.clock.seconds()
+        try:
+            for body in self.frames.feed(data):
+                self.take(self.callers.decoder.decode(body))
+        except BadFrame as bad:
+            self.close(str(bad))
+        except Exception as trouble:
+            self.callers.log.fault("connection-fault", trouble)
+            self.close("defect")
+
+    def take(self, message: Message) -> None:
+        match message:
+            case Ask():
+                self.ask(message)
+            case Heartbeat(number, deep):
+                self.callers.service.check(deep, lambda ready: self.checked(number, ready))
+            case Revoke(number, ref):
+                if number not in self.open:
+                    number = next((n for n, intake in self.open.items() if intake.ref == ref), 0)
+                if number in self.open:
+                    self.callers.service.gone(self.open.pop(number))
+            case Fault(number, code, why):
+                self.refuse(number, code, why)
+
+    def refuse(self, number: int | None, code: int, why: str) -> None:
+        self.callers.log.event("bad-message", why)
+        # An answer under an id that is open would be taken for that txn's own.
+        self.send(encode_error(None if number in self.open else number, code, why, {}))
+
+    def ask(self, ask: Ask) -> None:
+        if ask.id in self.seen:
+            self.refuse(None, INVALID, "id used twice")
+            return
+        self.seen[ask.id] = None
+        if len(self.seen) > IDS_KEPT:
+            del self.seen[next(iter(self.seen))]
+        if len(self.open) >= OPEN_MOST:
+            self.refuse(ask.id, INVALID, f"more than {OPEN_MOST} open")
+            return
+        self.asked += 1
+        # Both are told in Unix time, which may have stepped since: neither may leave what was told.
+        age = min(max(0.0, self.callers.unix() * 1_000 - ask.landed), ask.patience or 60_000.0)
+        intake = Intake(
+            ask.ref, ask.product, ask.customer, ask.caller, int(age * 1_000),
+            int((ask.patience - age) * 1_000), ask.size_kb, ask.doc,
+            lambda answer: self.answer(ask.id, answer), ask.resent, int(ask.effort * 1_000), ask.key)
+        self.open[ask.id] = intake
+        self.callers.admit(intake)
+
+    def answer(self, number: int, answer: Answer) -> None:
+        if self.open.pop(number, None) is not None:
+            self.heard = self.callers.clock.seconds()
+            self.send(encode_answer(number, answer, self.callers.service.value()))
+
+    def checked(self, number: int, ready: bool) -> None:
+        value = self.callers.service.value()
+        result: dict[str, object] = {"ready": ready} | ({} if value is None else {"v": value})
+        self.send(frame(orjson.dumps({"jsonrpc": "2.0", "id": number, "result": result})))
+
+    def send(self, data: bytes) -> None:
+        if self.code:
+            return
+        if not self.stalled:
+            self.transport.write(data)
+            return
+        self.backlog.append(data)
+        self.backlog_size += len(data)
+        self.callers.unread += len(data)
+        if self.backlog_size > UNREAD_MOST or self.callers.unread > self.callers.unread_most:
+            self.close("unread", abort=True)
+
+    def say_farewell(self) -> None:
+        if self.farewell_at is None:
+            self.farewell_at = self.callers.clock.seconds()
+            self.send(frame(FAREWELL))
+
+    def close(self, code: str, abort: bool = False) -> None:
+        self.code = self.code or code
+        if abort or self.stalled:
+            self.transport.abortConnection()
+        else:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
+        if not self.code:
+            self.code = "peer-closed" if reason.check(ConnectionDone) else "peer-reset"
+            if self.farewell_at is not None and not self.open:
+                self.code = "farewell"
+        unanswered, self.open = list(self.open.values()), {}
+        self.callers.left(self, len(unanswered))
+        for intake in unanswered:
+            self.callers.service.gone(intake)
+
+    # A peer that does not read: answers wait here, bounded, and not in the transport.
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self.stalled = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self.stalled = False
+        waiting, self.backlog = self.backlog, []
+        self.callers.unread -= self.backlog_size
+        self.backlog_size = 0
+        for data in waiting:
+            self.send(data)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        self.stalled = False
+
+
+class Callers(Factory):
+    """All connections of callers, and what bounds them."""
+
+    noisy = False
+
+    def __init__(self, service: Service, plain: Mapping[str, Any], clock: Any, log: Log, *, most: int,
+                 held_most: int, unread_most: int, unix: Callable[[], float] = time.time) -> None:
+        self.service, self.clock, self.log, self.unix = service, clock, log, unix
+        self.decoder = Decoder(plain)
+        self.most, self.held_most, self.unread_most = most, held_most, unread_most
+        self.held, self.unread = 0, 0
+        self.connections: dict[Connection, None] = {}
+
+    def buildProtocol(self, addr: object) -> Connection | Rejected:  # type: ignore[override]  # noqa: N802
+        return Connection(self) if len(self.connections) < self.most else Rejected(self.log)
+
+    def joined(self, connection: Connection) -> None:
+        self.connections[connection] = None
+        if self.service.leaving:
+            connection.say_farewell()
+
+    def left(self, connection: Connection, unanswered: int) -> None:
+        self.connections.pop(connection, None)
+        self.unread -= connection.backlog_size
+        connection.backlog_size = 0
+        self.log.event("connection-end", connection.code, asked=connection.asked, unanswered=unanswered)
+
+    def admit(self, intake: Intake) -> None:
+        """Bodies in hand are bounded: past the bound a txn is told at the door that it never ran."""
+        if self.held + len(intake.doc) > self.held_most:
+            self.log.event("turned-away", "held-bodies")
+            intake.answer(Answer(Kind.DECLINED, why="no memory"))
+            return
+        self.held += len(intake.doc)
+        self.service.serve(intake)
+
+    def released(self, intake: Intake) -> None:
+        self.held -= len(intake.doc)
+
+    def sweep(self) -> None:
+        """Closes what was silent past the limit: the farewell lets the peer close, so that nothing is on
+        the way then; one that does not is closed after a while."""
+        now = self.clock.seconds()
+        limit = self.service.idle_limit() / 1_000_000
+        for connection in list(self.connections):
+            if connection.open:
+                continue
+            if connection.farewell_at is not None:
+                if now - max(connection.farewell_at, connection.heard) > CLOSE_AFTER:
+                    connection.close("farewell")
+            elif limit and now - connection.heard > limit:
+                connection.say_farewell()
+
+    def farewell(self) -> None:
+        for connection in list(self.connections):
+            connection.say_farewell()
+
+
+class Rejected(Wire):
+    """A connection past the bound: closed at once, so that those that are open stay."""
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
+        self.log.event("connection-end", "full")
+
+
+def close_listener(port: Any, factory: Callers) -> None:
+    """Stops listening without losing whoever is in the backlog: those connections stand already, and closing
+    the socket would reset them with what they wrote."""
+    listening: socket.socket = port.socket
+    listening.listen(0)
+    port.doRead()
+    port.stopListening()
--- /dev/null
+++ b/limeridge/net/kernel.py
@@ -0,0 +1,325 @@
+"""The link to the kernel, which owns the cores: JSON lines, a cursor over its notices, relinking.
+
+It owns the parser of lines, the one decoding of each notice, and what was commanded and is not known to be
+carried out, so that a new link can take up where the last one broke. It must never judge what a notice means
+for a txn: it hands typed news on and sends what it is told to.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import orjson
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.protocol import ClientFactory
+from twisted.internet.protocol import Protocol as Wire
+from twisted.python.failure import Failure
+
+from limeridge.facade import Blocked, End, Ended
+from limeridge.net.log import Log
+
+LINE_MOST = 65_536  # bytes of a line
+RELINK = (0.02, 1.0)  # seconds between tries, the first and the longest
+CONNECT = 2.0  # seconds that one try may take
+FENCE = "fence"  # the ticket of the gauges asked for behind a cursor: its answer ends the repeated notices
+
+ENDS = {"ok": End.OK, "failed": End.FAILED, "halted": End.STOPPED, "void": End.NEVER_BEGAN}
+
+
+class BadLine(Exception):
+    """The link can't be trusted any more."""
+
+
+class Lines:
+    """Lines out of bytes that come split and joined anywhere."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        start = len(self.data)
+        self.data += data
+        while (end := self.data.find(b"\n", start)) >= 0:
+            line = bytes(self.data[:end])
+            del self.data[: end + 1]
+            start = 0
+            if len(line) > LINE_MOST:
+                raise BadLine
+            if line.strip():
+                yield line
+        if len(self.data) > LINE_MOST:
+            raise BadLine
+
+
+# ---- notices
+
+
+@dataclass(slots=True, frozen=True)
+class Booted:
+    cold: bool
+    ago: int  # microseconds
+
+
+@dataclass(slots=True, frozen=True)
+class Notice:
+    """A numbered notice of one txn's run; without news for a mere remark."""
+
+    cursor: int
+    handle: str
+    news: Ended | Blocked | None
+
+
+@dataclass(slots=True, frozen=True)
+class Gauges:
+    ticket: str
+    figures: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Posted:
+    ticket: str
+    well: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Invalid:
+    command: str
+    handle: str
+
+
+Told = Booted | Notice | Gauges | Posted | Invalid
+
+
+def decode(line: bytes) -> Told | None:
+    """None for what can't be read or is not known."""
+    try:
+        value = orjson.loads(line)
+        match value["event"]:
+            case "REAP":
+                return Notice(_cursor(value), str(value["handle"]),
+                              Ended(ENDS[value["fate"]], str(value.get("arg") or "")))
+            case "IOREQ":
+                body = base64.b64decode(value.get("arg") or "", validate=True)
+                return Notice(_cursor(value), str(value["handle"]), Blocked(_cursor(value), body))
+            case "INFO":
+                return Gauges(str(value["ticket"]), tuple(float(figure) for figure in value["figures"]))
+            case "BOOTED":
+                return Booted(value["fate"] == "cold", int(float(value.get("lasted") or 0) * 1_000))
+            case "POSTED":
+                return Posted(str(value["ticket"]), value["fate"] == "ok")
+            case "EINVAL":
+                return Invalid(str(value.get("fate")), str(value.get("handle") or ""))
+            case "DMESG":
+                return Notice(_cursor(value), "", None)
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError, binascii.Error):
+        pass
+    return None
+
+
+def _cursor(value: dict[str, Any]) -> int:
+    cursor = value["cursor"]
+    if not isinstance(cursor, int) or cursor < 1:
+        raise ValueError("cursor")
+    return cursor
+
+
+def encode(event: str, **fields: object) -> bytes:
+    return orjson.dumps({"event": event, **fields}, option=orjson.OPT_APPEND_NEWLINE)
+
+
+class Service(Protocol):
+    """What the link tells whoever wires it up."""
+
+    def booted(self, cold: bool, ago: int) -> None: ...
+    def heard(self, ref: str, news: Ended | Blocked) -> bool: ...
+
+
+class Link(Wire):
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel, self.lines = kernel, Lines()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.kernel.linked(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        try:
+            for line in self.lines.feed(data):
+                if self.kernel.link is self:
+                    self.kernel.take(line)
+        except BadLine:
+            self.kernel.distrust(self, "oversize")
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
+        self.kernel.unlinked(self, reason)
+
+
+class Kernel(ClientFactory):
+    noisy = False
+
+    def __init__(self, service: Service, reactor: Any, host: str, port: int, log: Log) -> None:
+        self.service, self.reactor, self.host, self.port, self.log = service, reactor, host, port, log
+        self.link: Link | None = None
+        self.ready = False  # booted, and the repeated notices are read
+        self.booted = False
+        self.cursor = 0
+        self.skipped_to = 0  # a gap up to here was seen twice: the notices in it are gone for good
+        self.delay = RELINK[0]
+        self.stopping = False
+        self.uncarried: dict[str, tuple[bytes, str]] = {}  # by handle, in the order of their sending
+        self.resent: set[str] = set()
+        self.tickets = 0
+        self.asked: dict[str, Deferred[Any]] = {}
+
+    def connect(self) -> None:
+        if not self.stopping:
+            self.reactor.connectTCP(self.host, self.port, self, timeout=CONNECT)
+
+    def stop(self) -> None:
+        self.stopping = True
+        if self.link is not None:
+            self.link.transport.loseConnection()
+
+    # ---- commands
+
+    def start(self, ref: str, entry: str, doc: str) -> None:
+        self._command(ref, "SCHED", entry=entry, arg=doc)
+
+    def reply(self, ref: str, body: bytes) -> None:
+        self._command(ref, "IODONE", arg=base64.b64encode(body).decode())
+
+    def go_on(self, ref: str, cursor: int) -> None:
+        self._command(ref, "NOIO", cursor=cursor)
+
+    def gauges(self, time_out: float) -> Deferred[tuple[float, ...] | None]:
+        """None where they do not come in time."""
+        return self._ask("SYSINFO", time_out, None)
+
+    def prove(self, time_out: float) -> Deferred[bool]:
+        """Whether the work of a deep check gets done."""
+        return self._ask("POST", time_out, False)
+
+    def over(self, ref: str) -> None:
+        self.uncarried.pop(ref, None)
+        self.resent.discard(ref)
+
+    def _command(self, ref: str, event: str, **fields: object) -> None:
+        line = encode(event, handle=ref, **fields)
+        self.uncarried.pop(ref, None)
+        self.uncarried[ref] = line, event
+        if self.ready and self.link is not None:
+            self.link.transport.write(line)
+
+    def _ask(self, event: str, time_out: float, nothing: Any) -> Deferred[Any]:
+        if not self.ready or self.link is None:
+            return succeed(nothing)
+        self.tickets += 1
+        ticket = str(self.tickets)
+        answer: Deferred[Any] = Deferred()
+        timer = self.reactor.callLater(time_out, self._answer, ticket, nothing)
+        answer.addBoth(lambda result: (timer.active() and timer.cancel(), result)[1])
+        self.asked[ticket] = answer
+        self.link.transport.write(encode(event, ticket=ticket))
+        return answer
+
+    def _answer(self, ticket: str, result: Any) -> None:
+        answer = self.asked.pop(ticket, None)
+        if answer is not None:
+            answer.callback(result)
+
+    # ---- the link
+
+    def linked(self, link: Link) -> None:
+        old, self.link, self.ready = self.link, link, False
+        if old is not None:
+            old.transport.abortConnection()
+        self.log.event("link-up", cursor=self.cursor)
+        link.transport.write(encode("OPEN", cursor=self.cursor))
+
+    def unlinked(self, link: Link, reason: Failure) -> None:
+        if self.link is not link:
+            return
+        self.link, self.ready = None, False
+        self.log.event("link-down", "stopped" if self.stopping else "lost", why=reason.getErrorMessage()[:200],
+                       cursor=self.cursor, uncarried=len(self.uncarried))
+        self._relink()
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
+        self.log.event("link-down", "unreached", why=reason.getErrorMessage()[:200])
+        self._relink()
+
+    def _relink(self) -> None:
+        if not self.stopping:
+            self.reactor.callLater(self.delay, self.connect)
+            self.delay = min(2 * self.delay, RELINK[1])
+
+    def distrust(self, link: Link, code: str) -> None:
+        self.log.event("link-fault", code)
+        link.transport.abortConnection()
+
+    def buildProtocol(self, addr: object) -> Link:  # noqa: N802
+        return Link(self)
+
+    def take(self, line: bytes) -> None:
+        told = decode(line)
+        match told:
+            case Notice():
+                self._notice(told)
+            case Gauges(ticket, figures):
+                if ticket == FENCE:
+                    self._resume()
+                else:
+                    self._answer(ticket, figures)
+            case Posted(ticket, well):
+                self._answer(ticket, well)
+            case Booted(cold, ago):
+                self.delay = RELINK[0]
+                self.log.event("boot", "cold" if cold else "warm", ago_ms=ago / 1_000, again=self.booted)
+                if not self.booted:
+                    self.booted = True
+                    self.service.booted(cold, ago)
+                # Notices from before the break come first; what they show is not to be commanded again.
+                if self.link is not None:
+                    self.link.transport.write(encode("SYSINFO", ticket=FENCE))
+            case Invalid(command, handle):
+                self.log.event("link-fault", "einval", command=command, handle=handle)
+                self._invalid(handle)
+            case None:
+                self.log.event("link-fault", "unreadable", line=line[:200].decode(errors="replace"))
+
+    def _resume(self) -> None:
+        if self.link is None:
+            return
+        self.ready = True
+        if self.cursor or self.resent:
+            self.resent |= set(self.uncarried)
+        for line, _ in self.uncarried.values():
+            self.link.transport.write(line)
+
+    def _notice(self, notice: Notice) -> None:
+        if notice.cursor <= self.cursor:
+            self.log.event("link-fault", "seen", cursor=notice.cursor)
+            return
+        if notice.cursor > self.cursor + 1 and self.skipped_to != notice.cursor and self.link is not None:
+            # One that is missing may be somebody's end: asked for once more before it is given up.
+            self.skipped_to = notice.cursor
+            self.distrust(self.link, "gap")
+            self.link.lines.data.clear()
+            self.unlinked(self.link, Failure(ConnectionError("a gap in the notices")))
+            return
+        self.cursor = notice.cursor
+        if notice.news is None:
+            return
+        self.over(notice.handle)
+        if not self.service.heard(notice.handle, notice.news):
+            self.log.event("link-fault", "unknown-handle", handle=notice.handle)
+
+    def _invalid(self, handle: str) -> None:
+        """A command sent again may have been carried out before: then it proves nothing about the run."""
+        if handle not in self.resent:
+            self.over(handle)
+            self.service.heard(handle, Ended(End.FAILED))
--- /dev/null
+++ b/limeridge/net/nodelist.py
@@ -0,0 +1,31 @@
+"""Reports to the node list: one UDP datagram each, with no answer.
+
+It owns the form of a report. It must never wait for anything or hold the process up: a list that is absent is
+a datagram lost.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+EVERY = 0.5  # seconds between reports; the list drops who was silent for 3
+
+
+class NodeList(DatagramProtocol):
+    noisy = False
+
+    def __init__(self, name: str, host: str, port: int) -> None:
+        self.name, self.host, self.port = name, host, port
+
+    def report(self, on: bool) -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            try:
+                transport.write(f"HERE {self.name} {'on' if on else 'off'}".encode(), (self.host, self.port))
+            except OSError:
+                return
+
+    def connectionRefused(self) -> None:  # noqa: N802
+        return
--- /dev/null
+++ b/limeridge/net/service.py
@@ -0,0 +1,264 @@
+"""The wiring of a service instance: callers, kernel, ledger and node list round the facade, and its life.
+
+It owns the handler of a txn, the timers, the shares of memory and descriptors, and the drain at SIGTERM. It
+must never judge a txn, and no exception in one txn's path may reach another or end the process.
+"""
+
+from __future__ import annotations
+
+import gc
+import signal
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.task import LoopingCall
+
+from limeridge import __version__
+from limeridge.config import Setup
+from limeridge.facade import Blocked, Called, Do, End, Ended, Facade, Intake, News, Step
+from limeridge.net.callers import SWEEP, Callers, close_listener
+from limeridge.net.kernel import Kernel
+from limeridge.net.ledger import Call, Ledger
+from limeridge.net.log import Log
+from limeridge.net.nodelist import EVERY, NodeList
+
+GAUGE_WAIT = 0.02  # seconds that a tick waits for its gauges; answers near their due time can't wait long
+CHECK_WAIT = 0.5  # seconds that a deep check may take
+BACKLOG = 512
+LAST_CALL = 0.08  # seconds before the kill at which the process ends, whatever is still open
+QUIET = 0.15  # seconds without a connection or an open txn after which a drained instance ends
+BETWEEN = 0.05  # seconds between two looks at the drain
+
+
+class Job:
+    """One txn in hand: its news in order, for the one handler that reads them."""
+
+    def __init__(self, intake: Intake) -> None:
+        self.intake = intake
+        self.news: deque[News] = deque()
+        self.waiting: Deferred[News] | None = None
+        self.call: Call | None = None
+        self.blocked: Blocked | None = None
+
+    def next(self) -> Deferred[News]:
+        if self.news:
+            return succeed(self.news.popleft())
+        self.waiting = Deferred()
+        return self.waiting
+
+    def tell(self, news: News) -> bool:
+        """False where the handler waits for something else."""
+        waiting, self.waiting = self.waiting, None
+        if waiting is None:
+            self.news.append(news)
+            return False
+        waiting.callback(news)
+        return True
+
+
+class Instance:
+    """One service instance."""
+
+    def __init__(self, setup: Setup, reactor: Any, log: Log) -> None:
+        self.setup, self.reactor, self.log = setup, reactor, log
+        plain = setup.plain
+        self.leaving = False
+        self.kill_at = 0.0
+        self.quiet_since: float | None = None
+        self.jobs: dict[str, Job] = {}
+        self.facade = Facade(plain, setup.seed, reactor, log, self.wake)
+        # Descriptors: half and a bit for callers, a few for ourselves; the kernel's link keeps its room.
+        spare, budget = 48, int(setup.memory_mb * (1 << 20))
+        to_ledger = min(128, setup.sockets // 8)
+        self.callers = Callers(self, plain, reactor, log, most=setup.sockets - to_ledger - spare,
+                               held_most=budget // 8, unread_most=budget // 8)
+        self.kernel = Kernel(self, reactor, setup.kernel.host, setup.kernel.port, log)
+        self.ledger = Ledger(reactor, setup.ledger.host, setup.ledger.port, log, to_ledger)
+        self.node_list = NodeList(setup.name, setup.node_list.host, setup.node_list.port)
+        self.port: Any = None
+        self.work_seen = False
+        self.loops: list[LoopingCall] = []
+
+    def start(self) -> None:
+        setup = self.setup
+        self.log.event("start", version=__version__, listen=f"{setup.listen.host}:{setup.listen.port}",
+                       kernel=f"{setup.kernel.host}:{setup.kernel.port}",
+                       ledger=f"{setup.ledger.host}:{setup.ledger.port}",
+                       node_list=f"{setup.node_list.host}:{setup.node_list.port}", stop_ms=setup.stop / 1_000,
+                       memory_mb=setup.memory_mb, sockets=setup.sockets, settings=dict(setup.plain))
+        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
+        self.port = self.reactor.listenTCP(setup.listen.port, self.callers, BACKLOG, setup.listen.host)
+        self.reactor.listenUDP(0, self.node_list, interface="::" if ":" in setup.node_list.host else "")
+        self.kernel.connect()
+        for call, every in ((self.callers.sweep, SWEEP), (self.ledger.sweep, 1.0), (self.report, EVERY)):
+            loop = LoopingCall(self.guarded, call)
+            loop.clock = self.reactor
+            loop.start(every, now=False)
+            self.loops.append(loop)
+        gc.collect()
+        gc.freeze()
+
+    def guarded(self, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception as trouble:
+            self.log.fault("service-fault", trouble)
+
+    # ---- a txn
+
+    def serve(self, intake: Intake) -> None:
+        if intake.ref in self.jobs:
+            self.log.event("bad-message", "ref in use")
+            self.facade.turn_back(intake, "ref in use")
+            self.callers.released(intake)
+            return
+        job = self.jobs[intake.ref] = Job(intake)
+        ensureDeferred(self.handle(job)).addErrback(
+            lambda failure: self.log.fault("txn-fault", failure.value, ref=intake.ref))
+
+    async def handle(self, job: Job) -> None:
+        intake, step = job.intake, None
+        try:
+            while True:
+                try:
+                    step = await self.next_step(job, step)
+                    if step.do is Do.DONE:
+                        return
+                    self.carry_out(job, step)
+                except Exception as trouble:
+                    self.log.fault("txn-fault", trouble, ref=intake.ref)
+                    self.facade.give_up(intake, "defect")
+                    step = Step(Do.WAIT)
+        finally:
+            if job.call is not None:
+                job.call.abandon()
+            self.jobs.pop(intake.ref, None)
+            self.kernel.over(intake.ref)
+            self.callers.released(intake)
+
+    async def next_step(self, job: Job, step: Step | None) -> Step:
+        if step is None:
+            return await self.facade.pick(job.intake)
+        news = await job.next()
+        if isinstance(news, Called) and news.end is End.OK:
+            self.kernel.reply(job.intake.ref, news.body)
+        elif isinstance(news, Blocked):
+            job.blocked = news
+        return await self.facade.report(job.intake, news)
+
+    def carry_out(self, job: Job, step: Step) -> None:
+        intake = job.intake
+        if step.do is Do.RUN:
+            name = str(self.setup.plain[f"products.{intake.product}.name"])
+            self.kernel.start(intake.ref, name, intake.doc)
+        elif step.do is Do.CALL and job.blocked is not None:
+            job.call = self.ledger.call(intake.ref, step.time_out, job.blocked.body)
+            job.call.done.addCallback(lambda called: self.tell(job, called))
+        elif step.do is Do.GO_ON and job.blocked is not None:
+            self.kernel.go_on(intake.ref, job.blocked.cursor)
+
+    def tell(self, job: Job, news: News) -> None:
+        if not job.tell(news):
+            self.facade.interrupt(job.intake)
+
+    def gone(self, intake: Intake) -> None:
+        self.facade.gone(intake)
+
+    # ---- what the kernel tells
+
+    def booted(self, cold: bool, ago: int) -> None:
+        self.facade.boot(cold, ago)
+        self.report()
+
+    def heard(self, ref: str, news: Ended | Blocked) -> bool:
+        job = self.jobs.get(ref)
+        if isinstance(news, Ended) and news.end is End.OK:
+            self.work_seen = True
+        if job is not None:
+            self.tell(job, news)
+        return job is not None
+
+    # ---- what callers are told
+
+    def value(self) -> float | None:
+        return self.facade.value
+
+    def idle_limit(self) -> int:
+        return self.facade.idle_limit
+
+    def check(self, deep: bool, answer: Callable[[bool], None]) -> None:
+        """From store, as the brain wants it. Whether work gets done is asked of the kernel only where no
+        run has ended well since the last such question."""
+        ready = self.facade.healthy and self.kernel.booted and not self.leaving
+        if not deep or not ready or self.work_seen:
+            self.work_seen = self.work_seen and not deep
+            answer(ready)
+        else:
+            self.kernel.prove(CHECK_WAIT).addCallback(answer)
+
+    # ---- time
+
+    def wake(self) -> None:
+        self.kernel.gauges(GAUGE_WAIT).addCallback(
+            lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(
+            lambda failure: self.log.fault("tick-fault", failure.value))
+
+    def report(self) -> None:
+        if self.kernel.booted and not self.leaving:
+            self.node_list.report(self.facade.healthy)
+
+    # ---- drain
+
+    def leave(self) -> None:
+        if self.leaving:
+            self.log.event("drain", "again")
+            return
+        self.leaving = True
+        self.kill_at = self.reactor.seconds() + self.setup.stop / 1_000_000
+        self.log.event("drain", "begun", owed=self.facade.owed(), connections=len(self.callers.connections))
+        self.guarded(lambda: self.node_list.report(False))
+        self.guarded(lambda: self.facade.leave(self.setup.stop))
+        self.guarded(self.callers.farewell)
+        self.guarded(lambda: close_listener(self.port, self.callers))
+        loop = LoopingCall(self.guarded, self.drained)
+        loop.clock = self.reactor
+        loop.start(BETWEEN, now=False)
+        self.loops.append(loop)
+
+    def drained(self) -> None:
+        """Ends when nobody is connected and nothing is open, or just before the kill."""
+        now = self.reactor.seconds()
+        busy = self.jobs or self.callers.connections
+        self.quiet_since = None if busy else self.quiet_since if self.quiet_since is not None else now
+        quiet = self.quiet_since is not None and now - self.quiet_since >= QUIET
+        if quiet or now >= self.kill_at - LAST_CALL:
+            self.log.event("drain", "done" if quiet else "time-up", owed=self.facade.owed(),
+                           connections=len(self.callers.connections))
+            self.stop()
+
+    def stop(self) -> None:
+        for loop in self.loops:
+            if loop.running:
+                loop.stop()
+        self.kernel.stop()
+        self.log.close_span()
+        self.reactor.callLater(0, self.reactor.stop)
+
+
+def run(setup: Setup) -> int:
+    from twisted.internet import reactor
+
+    # Timers must not follow Unix time, which may step back and hold them up.
+    reactor.seconds = time.monotonic  # type: ignore[attr-defined]
+    log = Log(setup.name)
+    instance = Instance(setup, reactor, log)
+    try:
+        instance.start()
+    except OSError as trouble:
+        log.fault("start", trouble, code="no-listen")
+        return 1
+    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    return 0
--- a/limeridge/simhost/__main__.py
+++ b/limeridge/simhost/__main__.py
@@ -8,7 +8,7 @@
 
 from limeridge.brain import Brain
 from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
-from limeridge.simhost.words import GAUGES, settings_of
+from limeridge.words import GAUGES, settings_of
 
 PRUNE_EVERY = 256  # txns between two clearings of the door's ids
 
--- a/limeridge/simhost/words.py
+++ b/limeridge/words.py
@@ -1,8 +1,12 @@
-"""The wire's names and ours, and settings as one plain map of names to values."""
+"""The outside's names for settings and ours, in one table for the simulator's host and the real instance.
+
+It owns how settings become the brain's one plain map of names to values. It must never check, default or
+decide: `config.py` refuses what is wrong, the brain gives what is absent its most careful reading.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 SEGMENTS = {
     "accounts": "customers", "accounts.share": "share", "accounts.quotaPerS": "quota_per_s",
@@ -70,3 +74,24 @@
         else:
             settings[name] = VALUES.get(last, {}).get(text) or value_of(text)
     return settings
+
+
+def pairs_of(value: object, path: str = "") -> Iterator[tuple[str, str]]:
+    """Nested settings, flattened to the same path and text pairs as stand in the simulator's first message."""
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            yield from pairs_of(inner, f"{path}.{name}" if path else str(name))
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        yield f"{path}.count", str(len(value))
+        for number, inner in enumerate(value):
+            yield from pairs_of(inner, f"{path}.{number}")
+    elif isinstance(value, list):
+        yield path, ",".join(text_of(item) for item in value)
+    elif value is not None:
+        yield path, text_of(value)
+
+
+def text_of(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_")
