--- a/limeridge/__main__.py
+++ b/limeridge/__main__.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 from limeridge.config import Unusable, path_from, read
@@ -17,6 +18,8 @@
     except Unusable as unusable:
         print(f"limeridge: {' '.join(str(unusable).split())}", file=sys.stderr)
         return 2
+    # Until it serves there is nothing to drain.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     from limeridge.net.service import run
 
     return run(setup)
--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -1,8 +1,8 @@
 """The one place where configuration is read, checked and given defaults.
 
-It owns the file's keys with their types, ranges and defaults, and turns the settings into the brain's one plain
-map. It must never act on a name of a deployment, place, product, customer or machine, and never lets a value
-through that the rest could trip over: `Unusable` names the key and what was expected.
+It owns the file's keys with their types, ranges and defaults, and turns the settings into the brain's one
+plain map. It must never act on a name of a deployment, place, product, customer or machine, and never let a
+value through that the rest could trip over: `Unusable` names the key and what was expected.
 """
 
 from __future__ import annotations
@@ -47,7 +47,8 @@
 
 
 # Within `settings`, `N` for each item of a list: type, least, most, whether it must be there.
-INT, FLOAT, BOOL, TEXT, LIST, OBJECT = "a whole number", "a number", "true or false", "a text", "a list", "an object"
+INT, FLOAT, BOOL = "a whole number", "a number", "true or false"
+TEXT, LIST, OBJECT = "a text", "a list", "an object"
 YEAR = 31_536_000_000_000  # microseconds; times beyond it are a wrong unit
 SETTINGS: dict[str, tuple[str, float, float, bool]] = {
     "classes": (LIST, 1, 1_000, True),
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -140,20 +140,11 @@
 
 class LogSink(Protocol):
     def event(self, event: str, code: str = "", **fields: object) -> None: ...
-    def fault(self, event: str, trouble: BaseException, code: str = "exception", **fields: object) -> None: ...
-
-
-class Timer(Protocol):
-    def cancel(self) -> None: ...
-
-
-class Clock(Protocol):
-    def seconds(self) -> float: ...
-    def callLater(self, delay: float, call: Callable[[], None], /) -> Timer: ...  # noqa: N802
+    def fault(self, event: str, trouble: object, code: str = "exception", **fields: object) -> None: ...
 
 
 class Facade:
-    """`wake` is called when the brain wants a tick; whoever gets it calls `tick` soon, with gauges if it can."""
+    """`wake` is called when the brain wants a tick; who gets it calls `tick` soon, with gauges if it can."""
 
     def __init__(self, plain: Mapping[str, Any], seed: int, clock: Any, log: LogSink,
                  wake: Callable[[], None]) -> None:
@@ -183,12 +174,12 @@
     # ---- what the network code calls
 
     def boot(self, cold: bool, ago: int) -> None:
-        """The kernel came up `ago` microseconds ago. Speed and crowd count from then, not from our own start."""
+        """The kernel came up `ago` microseconds ago: its speed grows from then on, not from our own start."""
         if self.serial:
             return
         self.plain["instance.cold"] = cold
         self.brain = Brain(self.plain, self.seed, self.now() - ago)
-        self.brain.now = self.now()
+        self.brain.woke(self.now(), 0, {})
         self._cancel_timer()
         self._pull()
 
@@ -231,7 +222,7 @@
         return self._hand_out(entry)
 
     def interrupt(self, intake: Intake) -> None:
-        """More news of a run came while `report` still waits: let go of it, the handler must read the news."""
+        """More news of a run came while `report` still waits: it lets go, the handler must read the news."""
         entry = self.by_ref.get(intake.ref)
         if entry is not None and entry.pending is not None and entry.txn.ran and entry.step is None:
             entry.step = Step(Do.WAIT)
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -8,20 +8,18 @@
 from __future__ import annotations
 
 import binascii
-import math
-import socket
 import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeGuard
 
 import orjson
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Factory, connectionDone
 from twisted.internet.protocol import Protocol as Wire
 from twisted.python.failure import Failure
-from zope.interface import implementer
+from zope.interface import implementer  # type: ignore[import-untyped]
 
 from limeridge.facade import Answer, Intake, Kind
 from limeridge.net.log import Log
@@ -33,6 +31,7 @@
 IDS_KEPT = 256  # ids of a connection that are still known after their answer
 UNREAD_MOST = 262_144  # bytes of answers that a peer may leave unread; 32 answers fit
 CLOSE_AFTER = 1.0  # seconds that a peer gets to close after a farewell on an idle connection
+TXN_TAKES = 2_500  # bytes that a txn takes here besides its body
 SWEEP = 0.1  # seconds between two looks for idle connections
 
 PARSE, INVALID, NO_METHOD, BAD_FIELD = -32700, -32600, -32601, -32602
@@ -211,7 +210,7 @@
             figure(params, "m", 0, 2_000, 0), text(params, "k", 256, ""), doc)
 
 
-def is_whole(value: object) -> bool:
+def is_whole(value: object) -> TypeGuard[int]:
     return isinstance(value, int) and not isinstance(value, bool)
 
 
@@ -222,10 +221,10 @@
     return value
 
 
-def figure(params: dict[str, Any], name: str, least: float, most: float, default: float | None = None) -> float:
+def figure(params: dict[str, Any], name: str, least: float, most: float,
+           default: float | None = None) -> float:
     value = params.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most \
-            or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
         raise Unfit(BAD_FIELD, f"{name} is no number from {least:g} to {most:g}")
     return value
 
@@ -269,6 +268,8 @@
 class Connection(Wire):
     """One connection of a caller."""
 
+    transport: Any
+
     def __init__(self, callers: Callers) -> None:
         self.callers = callers
         self.frames = Frames()
@@ -282,12 +283,12 @@
         self.farewell_at: float | None = None
         self.code = ""
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self.callers.joined(self)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def dataReceived(self, data: bytes) -> None:
         if self.code:
             return
         self.heard = self.callers.clock.seconds()
@@ -304,15 +305,15 @@
         match message:
             case Ask():
                 self.ask(message)
-            case Heartbeat(number, deep):
-                self.callers.service.check(deep, lambda ready: self.checked(number, ready))
+            case Heartbeat():
+                self.callers.service.check(message.deep, lambda ready: self.checked(message.id, ready))
             case Revoke(number, ref):
                 if number not in self.open:
                     number = next((n for n, intake in self.open.items() if intake.ref == ref), 0)
                 if number in self.open:
                     self.callers.service.gone(self.open.pop(number))
-            case Fault(number, code, why):
-                self.refuse(number, code, why)
+            case Fault():
+                self.refuse(message.id, message.code, message.why)
 
     def refuse(self, number: int | None, code: int, why: str) -> None:
         self.callers.log.event("bad-message", why)
@@ -334,7 +335,7 @@
         age = min(max(0.0, self.callers.unix() * 1_000 - ask.landed), ask.patience or 60_000.0)
         intake = Intake(
             ask.ref, ask.product, ask.customer, ask.caller, int(age * 1_000),
-            int((ask.patience - age) * 1_000), ask.size_kb, ask.doc,
+            max(0, int((ask.patience - age) * 1_000)), ask.size_kb, ask.doc,
             lambda answer: self.answer(ask.id, answer), ask.resent, int(ask.effort * 1_000), ask.key)
         self.open[ask.id] = intake
         self.callers.admit(intake)
@@ -374,9 +375,9 @@
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
-    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         if not self.code:
-            self.code = "peer-closed" if reason.check(ConnectionDone) else "peer-reset"
+            self.code = "peer-closed" if isinstance(reason.value, ConnectionDone) else "peer-reset"
             if self.farewell_at is not None and not self.open:
                 self.code = "farewell"
         unanswered, self.open = list(self.open.values()), {}
@@ -386,10 +387,10 @@
 
     # A peer that does not read: answers wait here, bounded, and not in the transport.
 
-    def pauseProducing(self) -> None:  # noqa: N802
+    def pauseProducing(self) -> None:
         self.stalled = True
 
-    def resumeProducing(self) -> None:  # noqa: N802
+    def resumeProducing(self) -> None:
         self.stalled = False
         waiting, self.backlog = self.backlog, []
         self.callers.unread -= self.backlog_size
@@ -397,7 +398,7 @@
         for data in waiting:
             self.send(data)
 
-    def stopProducing(self) -> None:  # noqa: N802
+    def stopProducing(self) -> None:
         self.stalled = False
 
 
@@ -414,7 +415,7 @@
         self.held, self.unread = 0, 0
         self.connections: dict[Connection, None] = {}
 
-    def buildProtocol(self, addr: object) -> Connection | Rejected:  # type: ignore[override]  # noqa: N802
+    def buildProtocol(self, addr: object) -> Connection | Rejected:
         return Connection(self) if len(self.connections) < self.most else Rejected(self.log)
 
     def joined(self, connection: Connection) -> None:
@@ -430,15 +431,15 @@
 
     def admit(self, intake: Intake) -> None:
         """Bodies in hand are bounded: past the bound a txn is told at the door that it never ran."""
-        if self.held + len(intake.doc) > self.held_most:
+        if self.held + len(intake.doc) + TXN_TAKES > self.held_most:
             self.log.event("turned-away", "held-bodies")
             intake.answer(Answer(Kind.DECLINED, why="no memory"))
             return
-        self.held += len(intake.doc)
+        self.held += len(intake.doc) + TXN_TAKES
         self.service.serve(intake)
 
     def released(self, intake: Intake) -> None:
-        self.held -= len(intake.doc)
+        self.held -= len(intake.doc) + TXN_TAKES
 
     def sweep(self) -> None:
         """Closes what was silent past the limit: the farewell lets the peer close, so that nothing is on
@@ -462,20 +463,24 @@
 class Rejected(Wire):
     """A connection past the bound: closed at once, so that those that are open stay."""
 
+    transport: Any
+
     def __init__(self, log: Log) -> None:
         self.log = log
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         self.transport.abortConnection()
 
-    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.log.event("connection-end", "full")
 
 
 def close_listener(port: Any, factory: Callers) -> None:
     """Stops listening without losing whoever is in the backlog: those connections stand already, and closing
     the socket would reset them with what they wrote."""
-    listening: socket.socket = port.socket
-    listening.listen(0)
-    port.doRead()
+    port.socket.listen(0)
+    known = -1
+    while known != len(factory.connections):
+        known = len(factory.connections)
+        port.doRead()
     port.stopListening()
--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -9,13 +9,13 @@
 
 import base64
 import binascii
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 import orjson
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.protocol import ClientFactory
+from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.internet.protocol import Protocol as Wire
 from twisted.python.failure import Failure
 
@@ -139,23 +139,25 @@
 
 
 class Link(Wire):
+    transport: Any
+
     def __init__(self, kernel: Kernel) -> None:
         self.kernel, self.lines = kernel, Lines()
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.kernel.linked(self)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def dataReceived(self, data: bytes) -> None:
         try:
             for line in self.lines.feed(data):
                 if self.kernel.link is self:
-                    self.kernel.take(line)
+                    self.kernel.guarded(line)
         except BadLine:
             self.kernel.distrust(self, "oversize")
 
-    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
-        self.kernel.unlinked(self, reason)
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.kernel.unlinked(self, reason.getErrorMessage())
 
 
 class Kernel(ClientFactory):
@@ -240,15 +242,15 @@
         self.log.event("link-up", cursor=self.cursor)
         link.transport.write(encode("OPEN", cursor=self.cursor))
 
-    def unlinked(self, link: Link, reason: Failure) -> None:
+    def unlinked(self, link: Link, why: str) -> None:
         if self.link is not link:
             return
         self.link, self.ready = None, False
-        self.log.event("link-down", "stopped" if self.stopping else "lost", why=reason.getErrorMessage()[:200],
+        self.log.event("link-down", "stopped" if self.stopping else "lost", why=why[:200],
                        cursor=self.cursor, uncarried=len(self.uncarried))
         self._relink()
 
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         self.log.event("link-down", "unreached", why=reason.getErrorMessage()[:200])
         self._relink()
 
@@ -261,9 +263,16 @@
         self.log.event("link-fault", code)
         link.transport.abortConnection()
 
-    def buildProtocol(self, addr: object) -> Link:  # noqa: N802
+    def buildProtocol(self, addr: object) -> Link:
         return Link(self)
 
+    def guarded(self, line: bytes) -> None:
+        """What goes wrong with one notice must not cost the link, and with it all others."""
+        try:
+            self.take(line)
+        except Exception as trouble:
+            self.log.fault("link-fault", trouble)
+
     def take(self, line: bytes) -> None:
         told = decode(line)
         match told:
@@ -309,7 +318,7 @@
             self.skipped_to = notice.cursor
             self.distrust(self.link, "gap")
             self.link.lines.data.clear()
-            self.unlinked(self.link, Failure(ConnectionError("a gap in the notices")))
+            self.unlinked(self.link, "a gap in the notices")
             return
         self.cursor = notice.cursor
         if notice.news is None:
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ClientFactory
+from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.internet.protocol import Protocol as Wire
 from twisted.python.failure import Failure
 
@@ -95,8 +95,8 @@
 
 
 def encode(host: str, ref: str, wait: int, body: bytes) -> bytes:
-    head = (f"POST /records/op HTTP/1.1\r\nHost: {host}\r\nOp-Of: {ref}\r\nOp-Wait-Ms: {-(-wait // 1_000)}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n")
+    head = (f"POST /records/op HTTP/1.1\r\nHost: {host}\r\nOp-Of: {ref}\r\n"
+            f"Op-Wait-Ms: {-(-wait // 1_000)}\r\nContent-Length: {len(body)}\r\n\r\n")
     return head.encode() + body
 
 
@@ -143,6 +143,8 @@
 class Line(Wire):
     """One connection to the ledger."""
 
+    transport: Any
+
     def __init__(self, ledger: Ledger) -> None:
         self.ledger, self.replies = ledger, Replies()
         self.call: Call | None = None
@@ -150,7 +152,7 @@
         self.used = 0
         self.code = ""
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.ledger.opened(self)
 
@@ -159,7 +161,7 @@
         self.used += 1
         self.transport.write(encode(self.ledger.host, call.ref, call.wait, call.body))
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def dataReceived(self, data: bytes) -> None:
         if self.code:
             return
         call = self.call
@@ -188,7 +190,7 @@
         self.ledger.forget(self)
         self.transport.abortConnection()
 
-    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.ledger.forget(self)
         call, self.call = self.call, None
         self.ledger.ended(self, self.code or ("broke-in-call" if call else "peer-closed"))
@@ -222,10 +224,10 @@
             self.opening += 1
             self.reactor.connectTCP(self.host, self.port, self, timeout=5)
 
-    def buildProtocol(self, addr: object) -> Line:  # noqa: N802
+    def buildProtocol(self, addr: object) -> Line:
         return Line(self)
 
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         self.connections -= 1
         self.opening -= 1
         self.log.event("ledger", "unreached", why=reason.getErrorMessage()[:200])
--- a/limeridge/net/log.py
+++ b/limeridge/net/log.py
@@ -36,9 +36,10 @@
         if count <= MOST:
             self._write(event, code, fields)
 
-    def fault(self, event: str, trouble: BaseException, code: str = "exception", **fields: object) -> None:
+    def fault(self, event: str, trouble: object, code: str = "exception", **fields: object) -> None:
         """An exception that was met and survived, with its traceback in the same line."""
-        text = "".join(traceback.format_exception(trouble))[-4000:]
+        met = trouble if isinstance(trouble, BaseException) else None
+        text = "".join(traceback.format_exception(met))[-4000:]
         self.event(event, code, trouble=f"{type(trouble).__name__}: {trouble}"[:300], trace=text, **fields)
 
     def close_span(self) -> None:
--- a/limeridge/net/nodelist.py
+++ b/limeridge/net/nodelist.py
@@ -27,5 +27,5 @@
             except OSError:
                 return
 
-    def connectionRefused(self) -> None:  # noqa: N802
+    def connectionRefused(self) -> None:
         return
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -14,7 +14,10 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
+from twisted.python import log as twisted_log
+from twisted.python.failure import Failure
 
 from limeridge import __version__
 from limeridge.config import Setup
@@ -28,6 +31,7 @@
 GAUGE_WAIT = 0.02  # seconds that a tick waits for its gauges; answers near their due time can't wait long
 CHECK_WAIT = 0.5  # seconds that a deep check may take
 BACKLOG = 512
+LISTEN_EVERY, LISTEN_TRIES = 0.05, 100  # seconds, times
 LAST_CALL = 0.08  # seconds before the kill at which the process ends, whatever is still open
 QUIET = 0.15  # seconds without a connection or an open txn after which a drained instance ends
 BETWEEN = 0.05  # seconds between two looks at the drain
@@ -79,6 +83,7 @@
         self.ledger = Ledger(reactor, setup.ledger.host, setup.ledger.port, log, to_ledger)
         self.node_list = NodeList(setup.name, setup.node_list.host, setup.node_list.port)
         self.port: Any = None
+        self.exit_code = 0
         self.work_seen = False
         self.loops: list[LoopingCall] = []
 
@@ -89,8 +94,10 @@
                        ledger=f"{setup.ledger.host}:{setup.ledger.port}",
                        node_list=f"{setup.node_list.host}:{setup.node_list.port}", stop_ms=setup.stop / 1_000,
                        memory_mb=setup.memory_mb, sockets=setup.sockets, settings=dict(setup.plain))
-        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
-        self.port = self.reactor.listenTCP(setup.listen.port, self.callers, BACKLOG, setup.listen.host)
+        for notice in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(notice, lambda *_: self.reactor.callFromThread(self.leave))
+        twisted_log.addObserver(self.observed)
+        self.listen(LISTEN_TRIES)
         self.reactor.listenUDP(0, self.node_list, interface="::" if ":" in setup.node_list.host else "")
         self.kernel.connect()
         for call, every in ((self.callers.sweep, SWEEP), (self.ledger.sweep, 1.0), (self.report, EVERY)):
@@ -101,12 +108,34 @@
         gc.collect()
         gc.freeze()
 
+    def listen(self, tries: int) -> None:
+        """A predecessor under this address may still be dying."""
+        listen = self.setup.listen
+        try:
+            self.port = self.reactor.listenTCP(listen.port, self.callers, BACKLOG, listen.host)
+        except CannotListenError as trouble:
+            self.log.event("listen", "taken", why=str(trouble), tries_left=tries)
+            if tries:
+                self.reactor.callLater(LISTEN_EVERY, self.listen, tries - 1)
+            else:
+                self.exit_code = 1
+                self.stop()
+
+    def observed(self, event: dict[str, Any]) -> None:
+        """What went wrong where only the reactor was there to catch it."""
+        failure = event.get("failure")
+        if event.get("isError") and failure is not None:
+            self.log.fault("service-fault", failure.value, code="reactor")
+
     def guarded(self, call: Callable[[], None]) -> None:
         try:
             call()
         except Exception as trouble:
             self.log.fault("service-fault", trouble)
 
+    def met(self, failure: Failure, event: str) -> None:
+        self.log.fault(event, failure.value)
+
     # ---- a txn
 
     def serve(self, intake: Intake) -> None:
@@ -116,8 +145,7 @@
             self.callers.released(intake)
             return
         job = self.jobs[intake.ref] = Job(intake)
-        ensureDeferred(self.handle(job)).addErrback(
-            lambda failure: self.log.fault("txn-fault", failure.value, ref=intake.ref))
+        ensureDeferred(self.handle(job)).addErrback(self.met, "txn-fault")
 
     async def handle(self, job: Job) -> None:
         intake, step = job.intake, None
@@ -203,8 +231,7 @@
 
     def wake(self) -> None:
         self.kernel.gauges(GAUGE_WAIT).addCallback(
-            lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(
-            lambda failure: self.log.fault("tick-fault", failure.value))
+            lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(self.met, "tick-fault")
 
     def report(self) -> None:
         if self.kernel.booted and not self.leaving:
@@ -222,7 +249,8 @@
         self.guarded(lambda: self.node_list.report(False))
         self.guarded(lambda: self.facade.leave(self.setup.stop))
         self.guarded(self.callers.farewell)
-        self.guarded(lambda: close_listener(self.port, self.callers))
+        if self.port is not None:
+            self.guarded(lambda: close_listener(self.port, self.callers))
         loop = LoopingCall(self.guarded, self.drained)
         loop.clock = self.reactor
         loop.start(BETWEEN, now=False)
@@ -249,16 +277,12 @@
 
 
 def run(setup: Setup) -> int:
-    from twisted.internet import reactor
+    from twisted.internet import reactor as the_reactor
 
+    reactor: Any = the_reactor
     # Timers must not follow Unix time, which may step back and hold them up.
-    reactor.seconds = time.monotonic  # type: ignore[attr-defined]
-    log = Log(setup.name)
-    instance = Instance(setup, reactor, log)
-    try:
-        instance.start()
-    except OSError as trouble:
-        log.fault("start", trouble, code="no-listen")
-        return 1
-    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
-    return 0
+    reactor.seconds = time.monotonic
+    instance = Instance(setup, reactor, Log(setup.name))
+    reactor.callWhenRunning(instance.start)
+    reactor.run(installSignalHandlers=False)
+    return instance.exit_code
--- a/limeridge/words.py
+++ b/limeridge/words.py
@@ -77,7 +77,7 @@
 
 
 def pairs_of(value: object, path: str = "") -> Iterator[tuple[str, str]]:
-    """Nested settings, flattened to the same path and text pairs as stand in the simulator's first message."""
+    """Nested settings, flattened to the path and text pairs of the simulator's first message."""
     if isinstance(value, dict):
         for name, inner in value.items():
             yield from pairs_of(inner, f"{path}.{name}" if path else str(name))
