--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -43,6 +43,8 @@
     stop: int  # microseconds from the notice to leave to the kill
     memory_mb: float
     sockets: int
+    products: tuple[str, ...]  # the names that callers and the kernel use, as they stand in the file
+    customers: tuple[str, ...]
     plain: Mapping[str, Value]
 
 
@@ -139,6 +141,8 @@
         stop=int(1_000 * _get(value, "stop_ms", FLOAT, 1, 3_600_000, 3_000)),
         memory_mb=float(_get(value, "limits.memory_mb", FLOAT, 32, 1e9, 192)),
         sockets=int(_get(value, "limits.sockets", INT, 64, 1e9, 1_024)),
+        products=tuple(each["name"] for each in settings["classes"]),
+        customers=tuple(each["name"] for each in settings.get("accounts") or ()),
         plain=settings_of(pairs_of(settings)))
 
 
@@ -163,6 +167,8 @@
         inner = [(part, value.get(part))]  # type: ignore[list-item]
     for key, found in inner:
         full = f"{name}.{key}" if name else str(key)
+        if part == "N" and found is None:
+            raise Unusable(f"settings.{full}: expected an item, it is null")
         if not rest:
             yield full, found
         elif found is not None:
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -112,6 +112,7 @@
     """A txn as it was read: `age` and `patience` are microseconds at the reading, `doc` stays as it came."""
 
     ref: str
+    entry: str  # the product's name out there
     product: int
     customer: int
     caller: int
@@ -238,14 +239,17 @@
             self.touched.append(entry)
             self._pull()
 
-    def give_up(self, intake: Intake, why: str) -> None:
-        """The handler met a defect: the txn is answered as voided, whatever else is known of it."""
+    def give_up(self, intake: Intake, why: str) -> Step:
+        """A defect was met: the txn is answered as voided, whatever else is known of it. WAIT where its run
+        is still to end."""
         entry = self.by_ref.get(intake.ref)
-        if entry is not None and entry.intake is intake:
-            self._final(entry, Answer(Kind.VOIDED, why=why))
-            self.brain.caller_gone(self.now(), entry.txn)
-            self.touched.append(entry)
-            self._pull()
+        if entry is None or entry.intake is not intake:
+            return Step(Do.DONE)
+        self._final(entry, Answer(Kind.VOIDED, why=why))
+        self.brain.caller_gone(self.now(), entry.txn)
+        self.touched.append(entry)
+        self._pull()
+        return Step(Do.DONE if entry.txn.stage is Stage.OVER else Do.WAIT)
 
     def turn_back(self, intake: Intake, why: str) -> None:
         """A txn that is not taken in at all; the brain never hears of it."""
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -9,7 +9,7 @@
 
 import binascii
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol, TypeGuard
 
@@ -105,6 +105,7 @@
 
     id: int
     ref: str
+    entry: str
     product: int
     customer: int
     caller: int
@@ -150,11 +151,9 @@
 class Decoder:
     """Bytes to one of the typed messages; names become numbers in the settings' order."""
 
-    def __init__(self, plain: Mapping[str, Any]) -> None:
-        def names(group: str) -> dict[str, int]:
-            return {str(plain.get(f"{group}.{i}.name", i)): i for i in range(plain.get(f"{group}.count", 0))}
-
-        self.products, self.customers = names("products"), names("customers")
+    def __init__(self, products: Sequence[str], customers: Sequence[str]) -> None:
+        self.products = {name: number for number, name in enumerate(products)}
+        self.customers = {name: number for number, name in enumerate(customers)}
 
     def decode(self, body: bytes) -> Message:
         try:
@@ -187,9 +186,9 @@
             return Heartbeat(number, params.get("x") in (True, 1))
         if method not in self.products:
             raise Unfit(NO_METHOD, "unknown class")
-        return self._ask(number, self.products[method], params)
+        return self._ask(number, method, params)
 
-    def _ask(self, number: int, product: int, params: dict[str, Any]) -> Ask:
+    def _ask(self, number: int, entry: str, params: dict[str, Any]) -> Ask:
         ref, doc = text(params, "i", 16), text(params, "doc", 4 * (DOC_MOST + 2) // 3 + 4)
         if len(ref) != 16 or not set(ref) <= set("0123456789abcdefABCDEF"):
             raise Unfit(BAD_FIELD, "i is not 16 hex digits")
@@ -204,7 +203,7 @@
             raise Unfit(BAD_FIELD, "unknown tenant")
         figure(params, "p", 0, 1, 0.0)
         return Ask(
-            number, ref, product, self.customers.get(customer, 0),
+            number, ref, entry, self.products[entry], self.customers.get(customer, 0),
             int(figure(params, "f", 0, 1 << 53, 0)), int(figure(params, "s", 0, 1 << 53)),
             figure(params, "d", 0, 1e9, 0), params.get("r") in (1, True), figure(params, "h", 0, 1e9, 0),
             figure(params, "m", 0, 2_000, 0), text(params, "k", 256, ""), doc)
@@ -281,6 +280,7 @@
         self.asked = 0
         self.heard = callers.clock.seconds()
         self.farewell_at: float | None = None
+        self.closed_at = 0.0
         self.code = ""
 
     def connectionMade(self) -> None:
@@ -334,7 +334,7 @@
         # Both are told in Unix time, which may have stepped since: neither may leave what was told.
         age = min(max(0.0, self.callers.unix() * 1_000 - ask.landed), ask.patience or 60_000.0)
         intake = Intake(
-            ask.ref, ask.product, ask.customer, ask.caller, int(age * 1_000),
+            ask.ref, ask.entry, ask.product, ask.customer, ask.caller, int(age * 1_000),
             max(0, int((ask.patience - age) * 1_000)), ask.size_kb, ask.doc,
             lambda answer: self.answer(ask.id, answer), ask.resent, int(ask.effort * 1_000), ask.key)
         self.open[ask.id] = intake
@@ -368,12 +368,13 @@
             self.send(frame(FAREWELL))
 
     def close(self, code: str, abort: bool = False) -> None:
-        self.code = self.code or code
-        if abort or self.stalled:
-            self.transport.abortConnection()
-        else:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+        if not self.code:
+            self.code, self.closed_at = code, self.callers.clock.seconds()
+            if abort or self.stalled:
+                self.transport.abortConnection()
+            else:
+                self.transport.unregisterProducer()
+                self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if not self.code:
@@ -407,10 +408,10 @@
 
     noisy = False
 
-    def __init__(self, service: Service, plain: Mapping[str, Any], clock: Any, log: Log, *, most: int,
+    def __init__(self, service: Service, decoder: Decoder, clock: Any, log: Log, *, most: int,
                  held_most: int, unread_most: int, unix: Callable[[], float] = time.time) -> None:
         self.service, self.clock, self.log, self.unix = service, clock, log, unix
-        self.decoder = Decoder(plain)
+        self.decoder = decoder
         self.most, self.held_most, self.unread_most = most, held_most, unread_most
         self.held, self.unread = 0, 0
         self.connections: dict[Connection, None] = {}
@@ -447,6 +448,10 @@
         now = self.clock.seconds()
         limit = self.service.idle_limit() / 1_000_000
         for connection in list(self.connections):
+            if connection.code:  # a peer that does not read what is left would keep it open for ever
+                if now - connection.closed_at > CLOSE_AFTER:
+                    connection.transport.abortConnection()
+                continue
             if connection.open:
                 continue
             if connection.farewell_at is not None:
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -87,11 +87,9 @@
 
 
 def proved(status: int, not_begun: bool) -> End:
-    if status == 200:
-        return End.OK
-    if not_begun:
-        return End.FULL if status == 503 else End.NEVER_BEGAN
-    return End.TIMED_OUT if status == 504 else End.FAILED
+    if status in (409, 503):
+        return End.FAILED if not not_begun else End.FULL if status == 503 else End.NEVER_BEGAN
+    return {200: End.OK, 504: End.TIMED_OUT}.get(status, End.FAILED)
 
 
 def encode(host: str, ref: str, wait: int, body: bytes) -> bytes:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -22,7 +22,7 @@
 from limeridge import __version__
 from limeridge.config import Setup
 from limeridge.facade import Blocked, Called, Do, End, Ended, Facade, Intake, News, Step
-from limeridge.net.callers import SWEEP, Callers, close_listener
+from limeridge.net.callers import SWEEP, Callers, Decoder, close_listener
 from limeridge.net.kernel import Kernel
 from limeridge.net.ledger import Call, Ledger
 from limeridge.net.log import Log
@@ -77,7 +77,8 @@
         # Descriptors: half and a bit for callers, a few for ourselves; the kernel's link keeps its room.
         spare, budget = 48, int(setup.memory_mb * (1 << 20))
         to_ledger = min(128, setup.sockets // 8)
-        self.callers = Callers(self, plain, reactor, log, most=setup.sockets - to_ledger - spare,
+        self.callers = Callers(self, Decoder(setup.products, setup.customers), reactor, log,
+                               most=setup.sockets - to_ledger - spare,
                                held_most=budget // 8, unread_most=budget // 8)
         self.kernel = Kernel(self, reactor, setup.kernel.host, setup.kernel.port, log)
         self.ledger = Ledger(reactor, setup.ledger.host, setup.ledger.port, log, to_ledger)
@@ -94,9 +95,6 @@
                        ledger=f"{setup.ledger.host}:{setup.ledger.port}",
                        node_list=f"{setup.node_list.host}:{setup.node_list.port}", stop_ms=setup.stop / 1_000,
                        memory_mb=setup.memory_mb, sockets=setup.sockets, settings=dict(setup.plain))
-        for notice in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(notice, lambda *_: self.reactor.callFromThread(self.leave))
-        twisted_log.addObserver(self.observed)
         self.listen(LISTEN_TRIES)
         self.reactor.listenUDP(0, self.node_list, interface="::" if ":" in setup.node_list.host else "")
         self.kernel.connect()
@@ -105,8 +103,6 @@
             loop.clock = self.reactor
             loop.start(every, now=False)
             self.loops.append(loop)
-        gc.collect()
-        gc.freeze()
 
     def listen(self, tries: int) -> None:
         """A predecessor under this address may still be dying."""
@@ -158,8 +154,9 @@
                     self.carry_out(job, step)
                 except Exception as trouble:
                     self.log.fault("txn-fault", trouble, ref=intake.ref)
-                    self.facade.give_up(intake, "defect")
-                    step = Step(Do.WAIT)
+                    step = self.facade.give_up(intake, "defect")
+                    if step.do is Do.DONE:
+                        return
         finally:
             if job.call is not None:
                 job.call.abandon()
@@ -180,8 +177,7 @@
     def carry_out(self, job: Job, step: Step) -> None:
         intake = job.intake
         if step.do is Do.RUN:
-            name = str(self.setup.plain[f"products.{intake.product}.name"])
-            self.kernel.start(intake.ref, name, intake.doc)
+            self.kernel.start(intake.ref, intake.entry, intake.doc)
         elif step.do is Do.CALL and job.blocked is not None:
             job.call = self.ledger.call(intake.ref, step.time_out, job.blocked.body)
             job.call.done.addCallback(lambda called: self.tell(job, called))
@@ -283,6 +279,11 @@
     # Timers must not follow Unix time, which may step back and hold them up.
     reactor.seconds = time.monotonic
     instance = Instance(setup, reactor, Log(setup.name))
+    for notice in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(notice, lambda *_: reactor.callFromThread(instance.leave))
+    twisted_log.addObserver(instance.observed)
+    gc.collect()
+    gc.freeze()  # what stands now stays; a collection need not look at it again
     reactor.callWhenRunning(instance.start)
     reactor.run(installSignalHandlers=False)
     return instance.exit_code
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -265,8 +265,8 @@
         told = {"patience": 3_000_000, "size_kb": 20.0, "caller": 0, "resent": False} | more
         self.keys[ref] = key or f"own-{ref}"
         self.intakes[ref] = Intake(
-            f"{ref:016x}", product, 0, told["caller"], age, told["patience"], told["size_kb"], f"body {ref}",
-            lambda answer: self.hear(ref, answer), told["resent"], key=key)
+            f"{ref:016x}", "look", product, 0, told["caller"], age, told["patience"], told["size_kb"],
+            f"body {ref}", lambda answer: self.hear(ref, answer), told["resent"], key=key)
         self.watch(ref, self.facade.pick(self.intakes[ref]))
         return self.txns[ref - 1]
 
@@ -453,5 +453,8 @@
     def answers(self, caller: Any) -> list[dict[str, Any]]:
         return [orjson.loads(body) for body in Frames().feed(caller.transport.sent())]
 
+    def failure(self, trouble: Exception) -> Failure:
+        return Failure(trouble)
+
     def lose(self, protocol: Any, clean: bool = True) -> None:
         protocol.connectionLost(Failure(ConnectionDone() if clean else ConnectionLost()))
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,384 @@
+"""The real protocols over transports in memory: a txn's way, and what peers and links can do to it."""
+
+import ast
+import os
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from helpers import Net
+from twisted.internet.error import ConnectionRefusedError
+
+from limeridge.net.callers import HEAD_MOST, OPEN_MOST, UNREAD_MOST, Rejected
+from limeridge.net.log import MOST, Log
+
+ROOT = Path(__file__).parent.parent / "limeridge"
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nreply"
+
+
+def booted(**changes: Any) -> Net:
+    net = Net(**changes)
+    assert net.boot() == [{"event": "OPEN", "cursor": 0}]
+    return net
+
+
+def at_call(net: Net) -> tuple[Any, str, Any]:
+    """A txn whose run is at a call that is out: its caller, its ref, the connection of the call."""
+    caller = net.caller()
+    ref = net.ask(caller, 1)
+    net.commands()
+    net.tell(event="IOREQ", cursor=None, handle=ref, arg="Y2FsbA==")
+    return caller, ref, net.connect("127.0.1.2")
+
+
+def error(answers: list[dict[str, Any]]) -> dict[str, Any]:
+    assert len(answers) == 1, answers
+    return dict(answers[0]["error"])
+
+
+def test_a_whole_txn_with_a_call() -> None:
+    net = booted()
+    caller, ref, line = at_call(net)
+    head, _, body = line.transport.sent().partition(b"\r\n\r\n")
+    assert head.startswith(b"POST /records/op HTTP/1.1\r\n") and body == b"call"
+    fields = dict(field.split(b": ") for field in head.split(b"\r\n")[1:])
+    assert fields[b"Op-Of"] == ref.encode() and 0 < int(fields[b"Op-Wait-Ms"]) <= 1_000
+    for part in (REPLY[:20], REPLY[20:]):
+        line.dataReceived(part)
+    assert net.commands() == [{"event": "IODONE", "handle": ref, "arg": "cmVwbHk="}]
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=30, arg="ZG9uZQ==")
+    [answer] = net.answers(caller)
+    assert (answer["id"], answer["result"]["doc"]) == (1, "ZG9uZQ==") and answer["result"]["v"] >= 0
+    assert not net.instance.jobs and not net.instance.facade.open and net.instance.callers.held == 0
+    assert caller.transport.no_delay and line.transport.no_delay and net.link.transport.no_delay
+
+
+def test_the_connection_of_a_call_is_used_again_and_closed_when_idle() -> None:
+    net = booted()
+    _, ref, line = at_call(net)
+    line.dataReceived(REPLY)
+    net.tell(event="IOREQ", cursor=None, handle=ref, arg="Y2FsbA==")
+    assert line.transport.sent().count(b"POST") == 2 and not net.reactor.tcpClients
+    line.dataReceived(REPLY)
+    net.pass_time(9.5)
+    assert line.transport.disconnected and not net.instance.ledger.idle
+
+
+def test_a_run_declined_in_the_hold_tells_when_to_come_back() -> None:
+    net = booted()
+    caller = net.caller()
+    refs = [net.ask(caller, number) for number in range(1, 9)]
+    assert [c["handle"] for c in net.commands()] == refs[:2]
+    net.pass_time(0.4)
+    declined = [answer["error"] for answer in net.answers(caller)]
+    assert declined and all(e["code"] == -32008 for e in declined)
+    assert all(0 <= e["data"].get("w", 0) <= 1_000 for e in declined)
+
+
+def test_a_link_lost_in_mid_run_is_taken_up_at_the_cursor() -> None:
+    net = booted()
+    caller = net.caller()
+    first, second = net.ask(caller, 1), net.ask(caller, 2)
+    net.commands()
+    net.tell(event="DMESG", cursor=None, fate="hello")
+    net.lose(net.link, clean=False)
+    third = net.ask(caller, 3, h=1.0)  # picked while no link stands, if it may run at all
+    net.pass_time(0.1)
+    again = [{"event": "REAP", "cursor": 2, "handle": first, "fate": "ok", "lasted": 5, "arg": "eA=="}]
+    assert net.boot(again=again) == [{"event": "OPEN", "cursor": 1}]
+    resent = [(c["event"], c["handle"]) for c in net.commands()]
+    assert ("SCHED", second) in resent and ("SCHED", first) not in resent
+    assert len(resent) == len(set(resent)) and {handle for _, handle in resent} <= {second, third}
+    assert [a["id"] for a in net.answers(caller)] == [1]
+    net.cursor = 2
+    net.tell(event="EINVAL", fate="SCHED", handle=second)  # carried out before the break, says the kernel
+    net.tell(event="REAP", cursor=None, handle=second, fate="ok", lasted=5, arg="eQ==")
+    assert [a["result"]["doc"] for a in net.answers(caller)] == ["eQ=="]
+
+
+def test_what_the_kernel_can_get_wrong_costs_no_other_txn() -> None:
+    net = booted()
+    caller = net.caller()
+    ref = net.ask(caller, 1)
+    net.commands()
+    for line in (b"nonsense", b'{"event":"NEW"}', b'{"event":"REAP","cursor":1,"handle":"ff","fate":"ok"}',
+                 b'{"event":"REAP","cursor":1,"handle":"%b","fate":"failed"}' % ref.encode()):
+        net.link.dataReceived(line + b"\n")
+    assert net.answers(caller) == []  # a cursor already seen
+    assert net.log.codes("link-fault") == ["unreadable", "unreadable", "unknown-handle", "seen"]
+    net.tell(event="EINVAL", fate="SCHED", handle=ref)
+    assert error(net.answers(caller))["code"] not in (0, -32008)
+    net.link.dataReceived(b"x" * 70_000)
+    assert net.link.transport.disconnected
+
+
+def test_a_gap_in_the_notices_is_asked_for_once_more() -> None:
+    net = booted()
+    net.tell(event="DMESG", cursor=3, fate="")
+    assert net.link.transport.disconnected and "gap" in net.log.codes("link-fault")
+    net.pass_time(0.1)
+    assert net.boot(again=[{"event": "DMESG", "cursor": 3, "fate": ""}]) == [{"event": "OPEN", "cursor": 0}]
+    assert net.instance.kernel.cursor == 3 and net.instance.kernel.ready
+
+
+@pytest.mark.parametrize("how", ["refused", "broken", "malformed", "late", "full"])
+def test_a_call_that_fails_goes_as_the_brain_wants(how: str) -> None:
+    net = booted()
+    if how == "refused":
+        caller, _ref = net.caller(), ""
+        net.tell(event="IOREQ", cursor=None, handle=net.ask(caller, 1), arg="")
+        factory = net.reactor.tcpClients.pop()[2]
+        factory.clientConnectionFailed(None, net.failure(ConnectionRefusedError()))
+    else:
+        caller, _ref, line = at_call(net)
+        if how == "broken":
+            line.dataReceived(REPLY[:30])
+            net.lose(line)
+        elif how == "malformed":
+            line.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\nreply")
+        elif how == "full":
+            line.dataReceived(b"HTTP/1.1 503 Busy\r\nOp-Not-Begun: 1\r\nContent-Length: 0\r\n\r\n")
+        else:
+            net.pass_time(1.1)
+            assert line.transport.disconnected
+            line.dataReceived(REPLY)  # too late to be anybody's
+    # An inquiry-like txn with a value without the call goes on without it once a call failed.
+    assert [c["event"] for c in net.commands() if c["event"] in ("NOIO", "IODONE")] == ["NOIO"]
+    assert net.instance.ledger.connections <= 1
+
+
+def test_a_run_over_before_its_call_gives_the_call_up() -> None:
+    net = booted()
+    caller, ref, line = at_call(net)
+    net.send(caller, jsonrpc="2.0", method="revoke", params={"i": ref})
+    net.tell(event="REAP", cursor=None, handle=ref, fate="halted", lasted=5)
+    assert line.transport.disconnected and net.answers(caller) == [] and not net.instance.jobs
+
+
+def test_drain_says_farewell_answers_all_and_ends() -> None:
+    net = booted()
+    stopped: list[bool] = []
+    net.reactor.stop = lambda: stopped.append(True)  # type: ignore[method-assign]
+    busy, idle = net.caller(), net.caller()
+    ref = net.ask(busy, 1)
+    net.pass_time(0.6)
+    assert net.reactor.reports and set(net.reactor.reports) == {b"HERE n1 on"}
+    net.instance.leave()
+    net.instance.leave()
+    assert net.log.codes("drain") == ["begun", "again"] and net.reactor.reports.pop() == b"HERE n1 off"
+    assert [m.get("method") for m in net.answers(idle) + net.answers(busy)] == ["farewell"] * 2
+    net.lose(idle)
+    crossing = net.ask(busy, 2)  # on its way when the farewell was said
+    assert [c["handle"] for c in net.commands()] == [ref, crossing]
+    net.pass_time(1.0)
+    late = net.caller()
+    net.ask(late, 1)
+    assert [m.get("method") or m["error"]["code"] for m in net.answers(late)] == ["farewell", -32008]
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="eA==")
+    assert not stopped and net.answers(busy)[-1]["result"]["doc"] == "eA=="
+    net.pass_time(2.2)
+    assert len(net.answers(busy)) == 1 and stopped and not net.instance.facade.owed()
+    assert net.reactor.reports[-1] == b"HERE n1 on" and net.log.codes("drain")[-1] == "time-up"
+
+
+def test_a_drained_instance_ends_as_soon_as_all_have_gone() -> None:
+    net = booted()
+    stopped: list[bool] = []
+    net.reactor.stop = lambda: stopped.append(True)  # type: ignore[method-assign]
+    caller = net.caller()
+    net.instance.leave()
+    net.pass_time(0.5)
+    assert not stopped
+    net.lose(caller)
+    net.pass_time(0.5)
+    assert stopped and net.log.codes("drain")[-1] == "done"
+    assert net.log.codes("connection-end") == ["farewell"]
+
+
+def test_a_peer_that_does_not_read_is_bounded_and_costs_itself_alone() -> None:
+    net = booted()
+    caller, other = net.caller(), net.caller()
+    caller.pauseProducing()
+    for _ in range(UNREAD_MOST // 50):
+        net.send(caller, jsonrpc="2.0", id=1, method="heartbeat")
+    assert caller.transport.disconnected
+    assert net.instance.callers.unread <= UNREAD_MOST + 200
+    net.lose(caller)
+    assert net.log.codes("connection-end") == ["unread"] and net.instance.callers.unread == 0
+    other.pauseProducing()
+    net.send(other, jsonrpc="2.0", id=1, method="heartbeat")
+    assert net.answers(other) == []
+    other.resumeProducing()
+    assert net.answers(other)[0]["result"]["ready"] is True
+
+
+def test_bad_messages_are_answered_and_bad_frames_end_their_connection() -> None:
+    net = booted()
+    caller, other = net.caller(), net.caller()
+    for body, code in ((b"{", -32700), (b"[]", -32600), (b'{"jsonrpc":"2.0","id":1}', -32600),
+                       (b'{"jsonrpc":"2.0","id":0,"method":"look"}', -32600)):
+        caller.dataReceived(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+        assert error(net.answers(caller))["code"] == code
+    for number, (method, fields, code) in enumerate([
+            ("nothing", {}, -32601), ("look", {"t": "nobody"}, -32602), ("look", {"doc": "*"}, -32602),
+            ("look", {"doc": "A" * 2_800}, -32602), ("look", {"i": "xyz"}, -32602),
+            ("look", {"m": 2_001}, -32602),
+            ("look", {"s": "now"}, -32602), ("look", {"d": 1e12}, -32602)], 1):
+        net.ask(caller, number, method, **fields)
+        [answer] = net.answers(caller)
+        assert (answer["id"], answer["error"]["code"]) == (number, code)
+    net.ask(caller, 20)
+    net.ask(caller, 20)
+    [answer] = net.answers(caller)
+    assert answer["id"] is None and answer["error"]["code"] == -32600
+    caller.dataReceived(b"x" * HEAD_MOST)
+    net.lose(caller)
+    assert net.log.codes("connection-end") == ["bad-head"]
+    ref = net.ask(other, 1)
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="eA==")
+    assert net.answers(other)[0]["result"]["doc"] == "eA=="
+
+
+def test_no_more_than_so_many_are_open_on_a_connection() -> None:
+    net = booted()
+    caller = net.caller()
+    for number in range(1, OPEN_MOST + 2):
+        net.ask(caller, number, d=60_000)
+    answers = net.answers(caller)
+    assert [a["id"] for a in answers if "more than" in a["error"]["message"]] == [OPEN_MOST + 1]
+
+
+def test_a_defect_in_one_txns_path_answers_that_txn_alone() -> None:
+    net = booted()
+    caller = net.caller()
+    start = net.instance.kernel.start
+    net.instance.kernel.start = lambda *_: 1 / 0  # type: ignore[assignment, method-assign]
+    ref = net.ask(caller, 1)
+    assert error(net.answers(caller))["code"] not in (0, -32008)
+    assert net.log.codes("txn-fault") == ["exception"]
+    net.instance.kernel.start = start  # type: ignore[method-assign]
+    net.tell(event="REAP", cursor=None, handle=ref, fate="void")  # nothing is left of it
+    assert not net.instance.facade.open
+    ref = net.ask(caller, 2)
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="eA==")
+    assert net.answers(caller)[0]["id"] == 2
+
+
+def test_a_repeat_gets_the_kept_result_of_the_one_run() -> None:
+    net = booted()
+    caller = net.caller()
+    first = net.ask(caller, 1, "book", k="acct-1")
+    joined = net.ask(caller, 2, "book", k="acct-1")
+    assert [c["handle"] for c in net.commands()] == [first] and joined != first
+    net.tell(event="REAP", cursor=None, handle=first, fate="ok", lasted=5, arg="eA==")
+    net.ask(caller, 3, "book", k="acct-1", r=1)
+    assert [a["result"]["doc"] for a in net.answers(caller)] == ["eA=="] * 3 and net.commands() == []
+
+
+def test_unix_time_that_steps_loses_and_delays_nothing() -> None:
+    net = booted()
+    caller = net.caller()
+    told = int(net.unix * 1_000)
+    net.unix -= 7.0
+    net.ask(caller, 1, s=told, d=2_000)
+    entry = next(iter(net.instance.facade.open.values()))
+    assert 1_900_000 <= entry.txn.due - net.instance.facade.now() <= 2_000_000
+    net.pass_time(2.1)
+    assert len(net.answers(caller)) == 1
+
+
+def test_the_kernel_may_come_late_and_the_ledger_never() -> None:
+    net = Net()
+    caller = net.caller()
+    net.send(caller, jsonrpc="2.0", id=1, method="heartbeat")
+    assert net.answers(caller)[0]["result"]["ready"] is False
+    for _ in range(5):
+        net.reactor.tcpClients.pop()[2].clientConnectionFailed(None, net.failure(ConnectionRefusedError()))
+        net.pass_time(1.1)
+    assert not net.reactor.reports
+    net.boot()
+    net.send(caller, jsonrpc="2.0", id=2, method="heartbeat")
+    assert net.answers(caller)[0]["result"]["ready"] is True and net.reactor.reports
+
+
+def test_a_deep_check_asks_whether_work_gets_done_where_nothing_shows_it() -> None:
+    net = booted()
+    caller = net.caller()
+    net.send(caller, jsonrpc="2.0", id=1, method="heartbeat", params={"x": True})
+    [post] = net.commands()
+    assert post["event"] == "POST" and net.answers(caller) == []
+    net.tell(event="POSTED", ticket=post["ticket"], fate="failed")
+    assert net.answers(caller)[0]["result"]["ready"] is False
+    ref = net.ask(caller, 2)
+    net.commands()
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="eA==")
+    net.answers(caller)
+    net.send(caller, jsonrpc="2.0", id=3, method="heartbeat", params={"x": True})
+    assert net.answers(caller)[0]["result"]["ready"] is True and net.commands() == []
+
+
+def test_connections_past_the_bound_are_turned_away_and_old_ones_stay() -> None:
+    net = booted(limits={"sockets": 128})
+    callers = [net.caller() for _ in range(net.instance.callers.most)]
+    rejected = net.caller()
+    assert isinstance(rejected, Rejected) and rejected.transport.disconnected
+    net.lose(rejected)
+    assert net.log.codes("connection-end") == ["full"] and not any(c.transport.disconnected for c in callers)
+
+
+def test_bodies_in_hand_are_bounded() -> None:
+    net = booted()
+    net.instance.callers.held_most = 5_000
+    caller = net.caller()
+    net.ask(caller, 1)
+    net.ask(caller, 2)
+    assert [(a["id"], a["error"]["code"]) for a in net.answers(caller)] == [(2, -32008)]
+
+
+def test_idle_connections_get_a_farewell_first() -> None:
+    net = booted()
+    caller = net.caller()
+    net.instance.facade.idle_limit = 500_000
+    net.pass_time(0.7)
+    assert net.answers(caller)[0]["method"] == "farewell" and not caller.transport.disconnecting
+    net.pass_time(1.2)
+    assert caller.transport.disconnecting
+    net.pass_time(1.2)
+    assert caller.transport.disconnected  # it does not read, or it would be closed by now
+
+
+def test_the_log_is_one_bounded_json_line_an_event() -> None:
+    out, sink = os.pipe()
+    now = [0.0]
+    log = Log("n1", sink, lambda: now[0])
+    for _ in range(3 * MOST):
+        log.event("link-fault", "seen")
+    log.fault("txn-fault", ValueError("two\nlines"))
+    now[0] = 60.0
+    log.event("later")
+    lines = [orjson.loads(line) for line in os.read(out, 1 << 20).splitlines()]
+    assert len(lines) == MOST + 3 and lines[-2] | {"t": 0} == {
+        "t": 0, "who": "n1", "event": "held-back", "code": "seen", "of": "link-fault", "lines": 2 * MOST}
+    while not log.dropped:  # nobody reads: it neither blocks nor raises
+        log.event(f"more-{now[0]}", "code", text="x" * 1_000)
+        now[0] += 1
+    os.close(out)
+    os.close(sink)
+
+
+def names_in(path: Path) -> set[str]:
+    tree = ast.parse(path.read_text())
+    found = {a.name for node in ast.walk(tree) if isinstance(node, ast.Import) for a in node.names}
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom):
+            found |= {f"{node.module}", *(f"{node.module}.{a.name}" for a in node.names)}
+    return found
+
+
+def test_the_net_knows_nothing_of_the_brain() -> None:
+    for path in (ROOT / "net").glob("*.py"):
+        assert not {name for name in names_in(path) if name.startswith(
+            ("limeridge.brain", "limeridge.interface", "limeridge.records", "limeridge.simhost"))}, path
+    for path in (ROOT / "simhost").glob("*.py"):
+        assert not {n for n in names_in(path) if n.startswith(("limeridge.net", "limeridge.facade"))}, path
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,239 @@
+"""Parsers and codecs: the same messages however bytes are split, and nothing that bytes can do to them."""
+
+import base64
+import json
+from typing import Any
+
+import orjson
+import pytest
+from helpers import SAMPLE
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limeridge.config import Unusable, read, setup_of
+from limeridge.facade import Answer, Blocked, End, Ended, Kind
+from limeridge.net import callers, kernel, ledger
+from limeridge.words import settings_of
+
+often = settings(derandomize=True, max_examples=150, deadline=None)
+cuts = st.lists(st.integers(1, 40), max_size=60)
+json_values: Any = st.recursive(
+    st.none() | st.booleans() | st.integers(-(1 << 60), 1 << 60) | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner, max_size=4),
+    max_leaves=8)
+
+
+def pieces(data: bytes, lengths: list[int]) -> list[bytes]:
+    """The data cut into the given lengths, the rest in one; cuts of one byte all along if there are none."""
+    if not lengths:
+        return [data[i:i + 1] for i in range(len(data))]
+    parts, at = [], 0
+    for length in lengths:
+        parts.append(data[at:at + length])
+        at += length
+    return [*parts, data[at:]]
+
+
+@often
+@given(bodies=st.lists(st.binary(max_size=60), max_size=6), lengths=cuts)
+def test_frames_come_out_whole_however_they_are_split(bodies: list[bytes], lengths: list[int]) -> None:
+    frames, out = callers.Frames(), []
+    for part in pieces(b"".join(map(callers.frame, bodies)), lengths):
+        out += list(frames.feed(part))
+    assert out == bodies and not frames.data
+
+
+@often
+@given(parts=st.lists(st.binary(max_size=600) | st.sampled_from([
+    b"Content-Length: ", b"3", b"\r\n", b"\r\n\r\n", b"content-length:9\r\n\r\n", b"99999", b"x:y"]),
+    max_size=30))
+def test_no_bytes_break_the_frames_or_fill_their_buffer(parts: list[bytes]) -> None:
+    frames = callers.Frames()
+    try:
+        for part in parts:
+            assert all(len(body) <= callers.BODY_MOST for body in frames.feed(part))
+            assert len(frames.data) <= callers.BODY_MOST + callers.HEAD_MOST
+    except callers.BadFrame as bad:
+        assert str(bad) in ("bad-head", "bad-length", "no-length", "oversize")
+
+
+@pytest.mark.parametrize(("head", "code"), [
+    (b"Content-Length: 99999\r\n\r\n", "oversize"), (b"Content-Type: a\r\n\r\n", "no-length"),
+    (b"Content-Length: -1\r\n\r\n", "bad-length"),
+    (b"Content-Length: 2\r\nContent-Length: 2\r\n\r\n", "bad-length"),
+    (b"GET / HTTP/1.1\r\n\r\n", "bad-head"), (b"\x16\x03\x01\x02", "bad-head"), (b"a" * 2000, "bad-head")])
+def test_a_bad_head_is_told_by_its_code(head: bytes, code: str) -> None:
+    with pytest.raises(callers.BadFrame, match=code):
+        list(callers.Frames().feed(head))
+
+
+@often
+@given(lines=st.lists(st.binary(min_size=1, max_size=30).filter(
+    lambda b: b"\n" not in b and b.strip()), max_size=8), lengths=cuts)
+def test_lines_come_out_whole_however_they_are_split(lines: list[bytes], lengths: list[int]) -> None:
+    parser, out = kernel.Lines(), []
+    for part in pieces(b"".join(line + b"\n" for line in lines), lengths):
+        out += list(parser.feed(part))
+    assert out == lines and not parser.data
+
+
+def test_a_line_without_an_end_does_not_fill_memory() -> None:
+    parser = kernel.Lines()
+    with pytest.raises(kernel.BadLine):
+        for _ in range(100):
+            list(parser.feed(b"x" * 1_000))
+    assert len(parser.data) <= kernel.LINE_MOST + 1_000
+
+
+@often
+@given(status=st.sampled_from([200, 500, 503, 504, 409]), body=st.binary(max_size=40), begun=st.booleans(),
+       lengths=cuts, informed=st.booleans())
+def test_replies_come_out_whole_however_they_are_split(
+        status: int, body: bytes, begun: bool, lengths: list[int], informed: bool) -> None:
+    reply = b"HTTP/1.1 100 Continue\r\n\r\n" * informed + b"HTTP/1.1 %d Some Reason\r\n" % status
+    reply += (b"" if begun else b"op-not-begun: 1\r\n") + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+    replies, out = ledger.Replies(), []
+    for _ in range(2):  # the connection is used again
+        out += [found for part in pieces(reply, lengths) if part and (found := replies.feed(part))]
+    assert out == [(status, not begun, body)] * 2
+
+
+@often
+@given(parts=st.lists(st.binary(max_size=600) | st.sampled_from(
+    [b"HTTP/1.1 200 OK\r\n", b"Content-Length: 3\r\n", b"\r\n", b"abc", b"HTTP/1.1 20",
+     b"Content-Length: 99999"]), max_size=30))
+def test_no_bytes_break_the_replies_or_fill_their_buffer(parts: list[bytes]) -> None:
+    replies = ledger.Replies()
+    try:
+        for part in parts:
+            replies.feed(part)
+            assert len(replies.data) <= ledger.HEAD_MOST + ledger.BODY_MOST
+    except ledger.BadReply:
+        pass
+
+
+@pytest.mark.parametrize(("reply", "end"), [
+    (b"HTTP/1.1 200 OK", End.OK), (b"HTTP/1.1 503 Busy\r\nOp-Not-Begun: 1", End.FULL),
+    (b"HTTP/1.1 503 Busy", End.FAILED), (b"HTTP/1.1 500 Oh", End.FAILED),
+    (b"HTTP/1.1 504 Late", End.TIMED_OUT), (b"HTTP/1.1 409 No\r\nOp-Not-Begun: 1", End.NEVER_BEGAN),
+    (b"HTTP/1.1 409 No", End.FAILED),
+    (b"HTTP/1.1 504 Late\r\nOp-Not-Begun: 1", End.TIMED_OUT), (b"HTTP/1.1 302 Go", End.FAILED)])
+def test_a_reply_is_told_as_what_it_proves(reply: bytes, end: End) -> None:
+    found = ledger.Replies().feed(reply + b"\r\nContent-Length: 0\r\n\r\n")
+    assert found is not None and ledger.proved(found[0], found[1]) is end
+
+
+@often
+@given(value=json_values | st.fixed_dictionaries(
+    {"jsonrpc": st.just("2.0"), "id": st.just(5) | json_values,
+     "method": st.sampled_from(["look", "heartbeat", "revoke"])},
+    optional={"params": json_values | st.dictionaries(
+        st.sampled_from([*"isftdrhmpokx", "doc"]), json_values)}))
+def test_any_json_is_decoded_to_a_message_or_a_fault(value: Any) -> None:
+    decoder = callers.Decoder(["look"], ["acme west"])
+    message = decoder.decode(json.dumps(value).encode())
+    assert isinstance(message, callers.Ask | callers.Revoke | callers.Heartbeat | callers.Fault)
+
+
+@often
+@given(line=st.binary(max_size=60) | (json_values | st.fixed_dictionaries(
+    {"event": st.sampled_from(["REAP", "IOREQ", "INFO", "BOOTED", "POSTED", "EINVAL", "DMESG", "NEW"])},
+    optional=dict.fromkeys(("cursor", "handle", "arg", "fate", "lasted", "ticket", "figures"), json_values)
+)).map(lambda v: json.dumps(v).encode()))
+def test_any_line_of_the_kernel_is_decoded_or_passed_over(line: bytes) -> None:
+    told = kernel.decode(line)
+    assert told is None or isinstance(
+        told, kernel.Booted | kernel.Notice | kernel.Gauges | kernel.Posted | kernel.Invalid)
+
+
+def test_notices_are_decoded_once_into_news() -> None:
+    assert kernel.decode(b'{"event":"REAP","cursor":3,"handle":"a","fate":"ok","lasted":2,"arg":"Zm9v"}') == \
+        kernel.Notice(3, "a", Ended(End.OK, "Zm9v"))
+    assert kernel.decode(b'{"event":"IOREQ","cursor":4,"handle":"a","arg":"Zm9v"}') == \
+        kernel.Notice(4, "a", Blocked(4, b"foo"))
+    assert kernel.decode(b'{"event":"BOOTED","fate":"cold","lasted":2.5}') == kernel.Booted(True, 2_500)
+    assert kernel.decode(b'{"event":"REAP","cursor":3,"handle":"a","fate":"odd"}') is None
+
+
+def test_answers_carry_what_the_caller_is_to_know() -> None:
+    def sent(answer: Answer) -> Any:
+        [body] = callers.Frames().feed(callers.encode_answer(7, answer, 0.25))
+        return orjson.loads(body)
+
+    assert sent(Answer(Kind.SETTLED, doc="Zm9v"))["result"] == {"doc": "Zm9v", "v": 0.25}
+    assert sent(Answer(Kind.DECLINED, come_back=12_500, not_elsewhere=True))["error"] == {
+        "code": -32008, "message": "turned away", "data": {"v": 0.25, "w": 12.5, "l": 1}}
+    assert sent(Answer(Kind.VOIDED))["error"]["code"] not in (0, -32008)
+
+
+# ---- configuration
+
+
+def changed(path: str, value: object) -> dict[str, Any]:
+    """The sample with one key changed, or left out for None."""
+    sample: dict[str, Any] = json.loads(json.dumps(SAMPLE))
+    *way, last = path.split(".")
+    holder: Any = sample
+    for part in way:
+        holder = holder[int(part)] if part.isdecimal() else holder[part]
+    key: Any = int(last) if last.isdecimal() else last
+    holder[key] = value
+    if value is None:
+        del holder[key]
+    return sample
+
+
+def test_the_settings_give_the_map_that_the_simulators_first_message_gives() -> None:
+    text = (
+        "classes.count=2 classes.0.name=look classes.0.aim=1000000 classes.0.deadline=4000000 "
+        "classes.0.idempotency=free classes.0.keyTtl=2000000 classes.0.worth=1.0 classes.1.name=book "
+        "classes.1.aim=1000000 classes.1.deadline=4000000 classes.1.idempotency=guarded "
+        "classes.1.keyTtl=2000000 classes.1.worth=3.0 accounts.count=1 accounts.0.name=acme_west "
+        "accounts.0.quotaPerS=45.0 "
+        "accounts.0.share=0.5 familyInfo.cpus=2 familyInfo.classCalls=true,true "
+        "familyInfo.classSkipWorth=0.5,0.0 familyInfo.callsOut=4.0 familyInfo.callsOver=5000000 "
+        "familyInfo.linger=200000 familyInfo.memoryKb=4000.0 familyInfo.runFactor=8.0 "
+        "familyInfo.kbPerKey=20.0 familyInfo.passesDeadline=true familyInfo.preemption=none "
+        "familyInfo.say=weight familyInfo.idle=30000000 familyInfo.gauges=cpu_busy,runnable,mem_used,sockets "
+        "familyInfo.justStarted=false "
+        "guarantees.drainGrace=300000 guarantees.overloadFactor=4.0 guarantees.coldFrom=0.25 "
+        "guarantees.rampTime=10000000 ceilings.retryAfter=true ceilings.maxRetryAfter=1000000 groupSize=3 "
+        "round=5000 clients.marksRetry=true valueBy=work zones=a,b")
+    plain = setup_of(SAMPLE).plain
+    assert plain == settings_of((name, value) for name, _, value in (p.partition("=") for p in text.split()))
+    assert plain["products.1.kind"] == "referenced" and plain["instance.skip_values"] == [0.5, 0.0]
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    ("name", None), ("name", 3), ("listen", "localhost:1"), ("listen", "127.0.0.1"),
+    ("kernel", "127.0.0.1:0"), ("records", None), ("roster", "[::1]"), ("seed", "xyz"), ("stop_ms", -1),
+    ("limits.sockets", 1.5),
+    ("limits.memory_mb", 1), ("settings", []), ("settings.classes", []), ("settings.classes.1.aim", None),
+    ("settings.classes.0.deadline", "soon"), ("settings.familyInfo.cpus", 0),
+    ("settings.familyInfo.cpus", True),
+    ("settings.guarantees.coldFrom", 1.5),
+    ("settings.familyInfo.classSkipWorth.1", "no")])
+def test_bad_configuration_is_told_by_its_key(path: str, value: object) -> None:
+    with pytest.raises(Unusable) as told:
+        setup_of(changed(path, value))
+    assert str(told.value).startswith(path + ":") and "expected" in str(told.value)
+
+
+@often
+@given(path=st.sampled_from(["name", "listen", "limits", "stop_ms", "settings", "settings.classes.0",
+                             "settings.familyInfo", "settings.familyInfo.gauges", "settings.accounts",
+                             "settings.classes.0.worth", "settings.guarantees"]), value=json_values)
+def test_any_value_is_taken_or_told(path: str, value: Any) -> None:
+    try:
+        setup_of(changed(path, value))
+    except Unusable as told:
+        assert "\n" not in str(told)
+
+
+def test_a_file_that_is_missing_or_no_json_is_told(tmp_path: Any) -> None:
+    (tmp_path / "bad").write_bytes(b"{")
+    (tmp_path / "good").write_bytes(orjson.dumps(SAMPLE | {"new": base64.b64encode(b"x").decode()}))
+    assert read(str(tmp_path / "good")).stop == 3_200_000
+    for path in (None, str(tmp_path / "none"), str(tmp_path / "bad")):
+        with pytest.raises(Unusable, match="BALANCER_CONFIG: expected"):
+            read(path)
