Rank lines of equal worth without comparing txns

Seen: with the sample configuration, 1,100 connections and 12,800 txns at once, the log had brain-fault lines: '>' not supported between Txn and Txn, from max(ranked) in _run_held. Cause: the tie-break of _ranked is the length of the list before the product's lines are added, the same for its three lines; where a txn over its share counts in full, or a product is worth nothing, two of them tie and the deques are compared. The program went on, but decided nothing in such rounds. The tie-break is the line's own number now.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -577,8 +577,8 @@
             if kind.served() <= least:
                 weight += goal("goal.worst_product", 0.0) / max(1.0, kind.asked)
             if not (running and self._crowded_below(kind)):
-                ranked += [(weight / kind.work() * factor, -len(ranked), line)
-                           for line, factor in zip(kind.lines, factors, strict=True) if line]
+                ranked += [(weight / kind.work() * factor, -3 * kind.number - i, line)
+                           for i, (line, factor) in enumerate(zip(kind.lines, factors, strict=True)) if line]
         return ranked
 
     def _crowded_below(self, kind: Product) -> bool:
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -399,6 +399,15 @@
     assert [host.read().over_share for _ in range(6)] == [False] * 4 + [True] * 2
 
 
+def test_lines_of_equal_worth_are_ranked_all_the_same() -> None:
+    # Guards against: an exception where txns over their share count as much as others.
+    host = Host(customers__0__quota_per_s=30.0, group_size=100)
+    assert [txn.stage for txn in host.crowd(8)].count(Stage.RUNNING) == 2
+    host.finish(host.txns[0])
+    host.pull()
+    assert host.txns[2].ran and not host.txns[6].ran
+
+
 def test_a_cheap_call_spares_its_room_for_a_dear_one_that_lately_waited() -> None:
     # Guards against: few txns here at once, so that the dear call is seldom at the call when room goes.
     host = Host(**TWO | {"instance__skip_values": [0.5, 0.0]})
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,7 +17,7 @@
     {"instance__preemption": "discard", "instance__say": "allowance"},
     {"instance__preemption": "freeze", "instance__say": "weight", "instance__cold": True},
     {"instance__say": "floor", "instance__calls_out": 0.4, "instance__skip_values": [0.0]},
-    {"instance__calls_out": 1.0, "instance__memory_kb": 900.0},
+    {"instance__calls_out": 1.0, "instance__memory_kb": 900.0, "customers__0__quota_per_s": 6.0},
     {"instance__calls_out": 0.0, "instance__cores": 1, "instance__callers": 0, "instance__idle": 2_000_000},
     {"products__0__kind": "referenced", "instance__preemption": "discard", "instance__cold": True},
 ]
