Let the brain answer before the guard after a pause of the machine

Seen in a test that steps the clock by 9 s: the guard of overdue txns voided what the brain would have declined in the same tick, and logged a defect (tick in facade.py looked before it asked the brain). It also hung on the brain's own wake-ups; now it looks by itself every 50 ms, in time for the rule, and asks the brain first.

--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -262,12 +262,19 @@
             self.brain.woke(now, 1, told)
         except Exception as trouble:
             self.log.fault("tick-fault", trouble)
-        for entry in list(self.open.values()):
-            if not entry.answered and entry.txn.due + OVERDUE < now:
-                self.log.event("overdue", "guard", ref=entry.intake.ref)
-                self.give_up(entry.intake, "overdue")
         self._pull()
 
+    def guard(self) -> None:
+        """Against a txn that the brain forgot: past its due time it is answered from here. The brain is asked
+        first; after a pause of the machine this may come before its own wake-up."""
+        now = self.now()
+        late = [e for e in self.open.values() if not e.answered and e.txn.due < now - OVERDUE]
+        if late:
+            self.tick(now, None)
+        for entry in [e for e in late if not e.answered]:
+            self.log.event("overdue", "guard", ref=entry.intake.ref)
+            self.give_up(entry.intake, "overdue")
+
     def leave(self, budget: int) -> None:
         """The notice to leave; the process is killed `budget` microseconds from now."""
         self.brain.leave(self.now(), budget)
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -29,6 +29,7 @@
 from limeridge.net.nodelist import EVERY, NodeList
 
 GAUGE_WAIT = 0.02  # seconds that a tick waits for its gauges; answers near their due time can't wait long
+GUARD = 0.05  # seconds between two looks for txns past their due time
 CHECK_WAIT = 0.5  # seconds that a deep check may take
 BACKLOG = 512
 LISTEN_EVERY, LISTEN_TRIES = 0.05, 100  # seconds, times
@@ -98,7 +99,8 @@
         self.listen(LISTEN_TRIES)
         self.reactor.listenUDP(0, self.node_list, interface="::" if ":" in setup.node_list.host else "")
         self.kernel.connect()
-        for call, every in ((self.callers.sweep, SWEEP), (self.ledger.sweep, 1.0), (self.report, EVERY)):
+        for call, every in ((self.callers.sweep, SWEEP), (self.ledger.sweep, 1.0), (self.report, EVERY),
+                            (self.facade.guard, GUARD)):
             loop = LoopingCall(self.guarded, call)
             loop.clock = self.reactor
             loop.start(every, now=False)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -324,6 +324,26 @@
     assert len(net.answers(caller)) == 1
 
 
+def test_after_a_pause_of_the_machine_the_brain_answers_and_not_the_guard() -> None:
+    net = booted()
+    caller = net.caller()
+    for number in range(1, 6):
+        net.ask(caller, number)
+    net.reactor.advance(9.0)
+    net.pass_time(0.1)
+    assert {a["error"]["code"] for a in net.answers(caller)} == {-32008}
+    assert not net.log.codes("overdue") and not net.instance.facade.owed()
+
+
+def test_a_txn_that_the_brain_forgets_is_answered_by_the_guard() -> None:
+    net = booted()
+    caller = net.caller()
+    net.ask(caller, 1)
+    net.instance.facade.brain.books.dues.clear()
+    net.pass_time(3.5)
+    assert error(net.answers(caller))["message"] == "overdue" and net.log.codes("overdue") == ["guard"]
+
+
 def test_the_kernel_may_come_late_and_the_ledger_never() -> None:
     net = Net()
     caller = net.caller()
