--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -139,8 +139,8 @@
         ledger=_address(value, "records"), node_list=_address(value, "roster"),
         seed=seed_number,
         stop=int(1_000 * _get(value, "stop_ms", FLOAT, 1, 3_600_000, 3_000)),
-        memory_mb=float(_get(value, "limits.memory_mb", FLOAT, 32, 1e9, 192)),
-        sockets=int(_get(value, "limits.sockets", INT, 64, 1e9, 1_024)),
+        memory_mb=float(_get(value, "limits.memory_mb", FLOAT, 16, 1e9, 192)),
+        sockets=int(_get(value, "limits.sockets", INT, 32, 1e9, 1_024)),
         products=tuple(each["name"] for each in settings["classes"]),
         customers=tuple(each["name"] for each in settings.get("accounts") or ()),
         plain=settings_of(pairs_of(settings)))
--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -296,7 +296,7 @@
                     self.link.transport.write(encode("SYSINFO", ticket=FENCE))
             case Invalid(command, handle):
                 self.log.event("link-fault", "einval", command=command, handle=handle)
-                self._invalid(handle)
+                self._invalid(command, handle)
             case None:
                 self.log.event("link-fault", "unreadable", line=line[:200].decode(errors="replace"))
 
@@ -327,8 +327,9 @@
         if not self.service.heard(notice.handle, notice.news):
             self.log.event("link-fault", "unknown-handle", handle=notice.handle)
 
-    def _invalid(self, handle: str) -> None:
-        """A command sent again may have been carried out before: then it proves nothing about the run."""
-        if handle not in self.resent:
+    def _invalid(self, command: str, handle: str) -> None:
+        """A reply sent again may have been taken before: then it proves nothing about the run. A start can't
+        be refused for that: a run that goes on already is no fault."""
+        if command == "SCHED" or handle not in self.resent:
             self.over(handle)
             self.service.heard(handle, Ended(End.FAILED))
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -76,7 +76,7 @@
         self.jobs: dict[str, Job] = {}
         self.facade = Facade(plain, setup.seed, reactor, log, self.wake)
         # Descriptors: half and a bit for callers, a few for ourselves; the kernel's link keeps its room.
-        spare, budget = 48, int(setup.memory_mb * (1 << 20))
+        spare, budget = max(16, min(48, setup.sockets // 4)), int(setup.memory_mb * (1 << 20))
         to_ledger = min(128, setup.sockets // 8)
         self.callers = Callers(self, Decoder(setup.products, setup.customers), reactor, log,
                                most=setup.sockets - to_ledger - spare,
