--- a/limeridge/__main__.py
+++ b/limeridge/__main__.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 
@@ -13,6 +14,12 @@
 
 
 def main() -> int:
+    # Against a log that goes into a socket which got the number of a closed standard stream.
+    for stream in (0, 1, 2):
+        try:
+            os.fstat(stream)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
     try:
         setup = read(path_from())
     except Unusable as unusable:
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -235,7 +235,7 @@
         entry = self.by_ref.get(intake.ref)
         if entry is not None and not entry.answered and entry.intake is intake:
             entry.answered = True
-            self.brain.caller_gone(self.now(), entry.txn)
+            self._tell(self.brain.caller_gone, entry.txn)
             self.touched.append(entry)
             self._pull()
 
@@ -246,7 +246,7 @@
         if entry is None or entry.intake is not intake:
             return Step(Do.DONE)
         self._final(entry, Answer(Kind.VOIDED, why=why))
-        self.brain.caller_gone(self.now(), entry.txn)
+        self._tell(self.brain.caller_gone, entry.txn)
         self.touched.append(entry)
         self._pull()
         return Step(Do.DONE if entry.txn.stage is Stage.OVER else Do.WAIT)
@@ -258,10 +258,7 @@
     def tick(self, now: int, gauges: Sequence[float] | None) -> None:
         """Moves time; `gauges` in the settings' order, None where none could be had."""
         told = dict(zip(self.gauges, gauges, strict=False)) if gauges else {}
-        try:
-            self.brain.woke(now, 1, told)
-        except Exception as trouble:
-            self.log.fault("tick-fault", trouble)
+        self._tell(self.brain.woke, 1, told, now=now)
         self._pull()
 
     def guard(self) -> None:
@@ -277,13 +274,20 @@
 
     def leave(self, budget: int) -> None:
         """The notice to leave; the process is killed `budget` microseconds from now."""
-        self.brain.leave(self.now(), budget)
+        self._tell(self.brain.leave, budget)
         self._pull()
 
     def owed(self) -> int:
         """Txns without a final answer whose callers still wait."""
         return sum(not entry.answered for entry in self.open.values())
 
+    def _tell(self, told: Callable[..., object], *what: object, now: int | None = None) -> None:
+        """An input to the brain; a defect there must not reach whoever brought it."""
+        try:
+            told(self.now() if now is None else now, *what)
+        except Exception as trouble:
+            self.log.fault("brain-fault", trouble)
+
     # ---- the brain's decisions
 
     def _hand_out(self, entry: Entry) -> Deferred[Step]:
--- a/limeridge/net/log.py
+++ b/limeridge/net/log.py
@@ -24,7 +24,10 @@
         self.counts: dict[tuple[str, str], int] = {}
         self.span_end = clock() + SPAN
         self.dropped = 0
-        os.set_blocking(sink, False)
+        try:
+            os.set_blocking(sink, False)
+        except OSError:
+            self.dropped += 1
 
     def event(self, event: str, code: str = "", **fields: object) -> None:
         if self.clock() >= self.span_end:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -7,16 +7,17 @@
 from __future__ import annotations
 
 import gc
+import resource
 import signal
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
-from twisted.python import log as twisted_log
+from twisted.logger import globalLogBeginner
 from twisted.python.failure import Failure
 
 from limeridge import __version__
@@ -96,9 +97,10 @@
                        ledger=f"{setup.ledger.host}:{setup.ledger.port}",
                        node_list=f"{setup.node_list.host}:{setup.node_list.port}", stop_ms=setup.stop / 1_000,
                        memory_mb=setup.memory_mb, sockets=setup.sockets, settings=dict(setup.plain))
-        self.listen(LISTEN_TRIES)
-        self.reactor.listenUDP(0, self.node_list, interface="::" if ":" in setup.node_list.host else "")
-        self.kernel.connect()
+        self.guarded(lambda: self.listen(LISTEN_TRIES))
+        self.guarded(lambda: self.reactor.listenUDP(
+            0, self.node_list, interface="::" if ":" in setup.node_list.host else ""))
+        self.guarded(self.kernel.connect)
         for call, every in ((self.callers.sweep, SWEEP), (self.ledger.sweep, 1.0), (self.report, EVERY),
                             (self.facade.guard, GUARD)):
             loop = LoopingCall(self.guarded, call)
@@ -109,6 +111,8 @@
     def listen(self, tries: int) -> None:
         """A predecessor under this address may still be dying."""
         listen = self.setup.listen
+        if self.leaving:
+            return
         try:
             self.port = self.reactor.listenTCP(listen.port, self.callers, BACKLOG, listen.host)
         except CannotListenError as trouble:
@@ -119,10 +123,10 @@
                 self.exit_code = 1
                 self.stop()
 
-    def observed(self, event: dict[str, Any]) -> None:
+    def observed(self, event: Mapping[str, Any]) -> None:
         """What went wrong where only the reactor was there to catch it."""
-        failure = event.get("failure")
-        if event.get("isError") and failure is not None:
+        failure = event.get("log_failure")
+        if failure is not None:
             self.log.fault("service-fault", failure.value, code="reactor")
 
     def guarded(self, call: Callable[[], None]) -> None:
@@ -283,7 +287,12 @@
     instance = Instance(setup, reactor, Log(setup.name))
     for notice in (signal.SIGTERM, signal.SIGINT):
         signal.signal(notice, lambda *_: reactor.callFromThread(instance.leave))
-    twisted_log.addObserver(instance.observed)
+    # Begun, as Twisted keeps 65,536 events for whoever begins later, with all that they hold on to.
+    observer: Any = instance.observed
+    globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    most = setup.sockets if hard == resource.RLIM_INFINITY else min(hard, setup.sockets)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
     gc.collect()
     gc.freeze()  # what stands now stays; a collection need not look at it again
     reactor.callWhenRunning(instance.start)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -301,6 +301,21 @@
     assert net.answers(caller)[0]["id"] == 2
 
 
+def test_a_defect_in_the_brain_ends_neither_the_instance_nor_other_txns() -> None:
+    net = booted()
+    caller, other = net.caller(), net.caller()
+    net.ask(caller, 1)
+    brain = net.instance.facade.brain
+    broken, brain._run_held = brain._run_held, lambda: iter([1 / 0])  # type: ignore[assignment, method-assign]
+    net.ask(other, 1)
+    brain.caller_gone = lambda *_: 1 / 0  # type: ignore[assignment, method-assign]
+    net.lose(caller)
+    assert net.log.codes("brain-fault") and not net.answers(other)
+    brain._run_held = broken  # type: ignore[method-assign]
+    net.pass_time(0.1)
+    assert [c["event"] for c in net.commands()] == ["SCHED", "SCHED"]
+
+
 def test_a_repeat_gets_the_kept_result_of_the_one_run() -> None:
     net = booted()
     caller = net.caller()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,6 +2,10 @@
 
 import base64
 import json
+import os
+import subprocess
+import sys
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -230,6 +234,15 @@
         assert "\n" not in str(told)
 
 
+def test_bad_configuration_ends_the_program_with_one_line(tmp_path: Any) -> None:
+    (tmp_path / "bad").write_bytes(orjson.dumps(changed("settings.familyInfo.cpus", 0)))
+    done = subprocess.run([sys.executable, "-m", "limeridge"], cwd=Path(__file__).parent.parent, text=True,
+                          env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "bad")}, capture_output=True,
+                          timeout=60, check=False)
+    assert (done.returncode, done.stdout) == (2, "")
+    assert done.stderr == "limeridge: settings.familyInfo.cpus: expected a whole number from 1 to 100000\n"
+
+
 def test_a_file_that_is_missing_or_no_json_is_told(tmp_path: Any) -> None:
     (tmp_path / "bad").write_bytes(b"{")
     (tmp_path / "good").write_bytes(orjson.dumps(SAMPLE | {"new": base64.b64encode(b"x").decode()}))
