Say not ready, and report no more, while the kernel's link is down

Read in check and report of service.py: both asked only whether the kernel had ever booted, so an instance that had lost its kernel for good went on being listed and called ready while it could start nothing.

--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -201,7 +201,6 @@
 
     def booted(self, cold: bool, ago: int) -> None:
         self.facade.boot(cold, ago)
-        self.report()
 
     def heard(self, ref: str, news: Ended | Blocked) -> bool:
         job = self.jobs.get(ref)
@@ -222,7 +221,7 @@
     def check(self, deep: bool, answer: Callable[[bool], None]) -> None:
         """From store, as the brain wants it. Whether work gets done is asked of the kernel only where no
         run has ended well since the last such question."""
-        ready = self.facade.healthy and self.kernel.booted and not self.leaving
+        ready = self.facade.healthy and self.kernel.ready and not self.leaving
         if not deep or not ready or self.work_seen:
             self.work_seen = self.work_seen and not deep
             answer(ready)
@@ -236,7 +235,7 @@
             lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(self.met, "tick-fault")
 
     def report(self) -> None:
-        if self.kernel.booted and not self.leaving:
+        if self.kernel.ready and not self.leaving:  # without its kernel it can start nothing
             self.node_list.report(self.facade.healthy)
 
     # ---- drain
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -370,7 +370,13 @@
     assert not net.reactor.reports
     net.boot()
     net.send(caller, jsonrpc="2.0", id=2, method="heartbeat")
+    net.pass_time(0.6)
     assert net.answers(caller)[0]["result"]["ready"] is True and net.reactor.reports
+    net.reactor.reports.clear()
+    net.lose(net.link, clean=False)  # and not come back
+    net.send(caller, jsonrpc="2.0", id=3, method="heartbeat")
+    net.pass_time(2.0)
+    assert net.answers(caller)[0]["result"]["ready"] is False and not net.reactor.reports
 
 
 def test_a_deep_check_asks_whether_work_gets_done_where_nothing_shows_it() -> None:
