Test the instance with seeded peers, a lossy kernel link and a moody ledger

Random histories over transports in memory: callers that come, go, revoke and send nonsense, a link that breaks at any time and is told all notices again, a ledger that refuses, breaks and fails, and a drain.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 same through the facade, and the far ends of an instance's sockets in memory."""
 
 from traceback import format_exception
+from types import SimpleNamespace
 from typing import Any
 
 import orjson
@@ -368,6 +369,11 @@
         super().__init__()
         self.reports: list[bytes] = []
 
+    def listenTCP(self, *args: Any) -> Any:  # noqa: N802
+        """The listening socket as a drain sees it: nobody is in its backlog."""
+        return SimpleNamespace(socket=SimpleNamespace(listen=lambda most: None), doRead=lambda: None,
+                               stopListening=lambda: None)
+
     def listenUDP(self, port: int, protocol: Any, interface: str = "") -> None:  # noqa: N802
         self.write = lambda data, address: self.reports.append(data)
         protocol.transport = self
@@ -468,3 +474,79 @@
 
     def lose(self, protocol: Any, clean: bool = True) -> None:
         protocol.connectionLost(Failure(ConnectionDone() if clean else ConnectionLost()))
+
+
+class FarKernel:
+    """The kernel's own books: runs go on without a link, notices are kept and told again."""
+
+    def __init__(self, net: Net) -> None:
+        self.net, self.link, self.opened = net, None, False
+        self.notices: list[dict[str, Any]] = []
+        self.state: dict[str, str] = {}  # by handle: runs, waits, over
+        self.started: list[str] = []
+        self.closed: set[str] = set()  # answered or given up
+
+    def connect(self) -> bool:
+        """Takes a new link, if one was asked for."""
+        if self.link is not None or not any(c[0] == "127.0.1.1" for c in self.net.reactor.tcpClients):
+            return False
+        self.link = self.net.link = self.net.connect("127.0.1.1")
+        self.opened = False
+        return True
+
+    def lose(self) -> None:
+        if self.link is not None:
+            self.read()  # what was sent reached it, or some of it
+            link, self.link = self.link, None
+            self.net.lose(link, clean=False)
+
+    def send(self, notice: dict[str, Any]) -> None:
+        if self.opened and self.link is not None and self.net.instance.kernel.link is self.link:
+            self.link.dataReceived(orjson.dumps(notice) + b"\n")
+
+    def note(self, **notice: Any) -> None:
+        self.notices.append(notice | {"cursor": len(self.notices) + 1})
+        self.send(self.notices[-1])
+
+    def end(self, handle: str, fate: str) -> None:
+        self.state[handle] = "over"
+        self.note(event="REAP", handle=handle, fate=fate, lasted=5, arg=f"of{handle}")
+
+    def block(self, handle: str) -> None:
+        if handle in self.closed:
+            self.end(handle, "halted")
+            return
+        self.state[handle] = "waits"
+        self.note(event="IOREQ", handle=handle, arg="Y2FsbA==")
+
+    def over(self, handle: str) -> None:
+        """Its txn was answered or given up: a run that waits for a call ends there."""
+        self.closed.add(handle)
+        if self.state.get(handle) == "waits":
+            self.end(handle, "halted")
+
+    def read(self) -> None:
+        while self.link is not None and (data := self.link.transport.sent()):
+            for command in map(orjson.loads, data.splitlines()):
+                self.take(command)
+
+    def take(self, command: dict[str, Any]) -> None:
+        handle = command.get("handle", "")
+        match command["event"]:
+            case "OPEN":
+                self.opened = True
+                self.send({"event": "BOOTED", "fate": "warm", "lasted": 60_000})
+                for notice in self.notices[command["cursor"]:]:
+                    self.send(notice)
+            case "SYSINFO":
+                busy = sum(state == "runs" for state in self.state.values())
+                self.send({"event": "INFO", "ticket": command["ticket"], "figures": [busy / 2, busy, 0.1, 3]})
+            case "SCHED" if handle not in self.state and handle in self.closed:
+                self.end(handle, "void")
+            case "SCHED" if handle not in self.state:
+                self.state[handle] = "runs"
+                self.started.append(handle)
+            case "IODONE" | "NOIO" if self.state.get(handle) == "waits":
+                self.state[handle] = "runs"
+            case "POST":
+                self.send({"event": "POSTED", "ticket": command["ticket"], "fate": "ok"})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -163,6 +163,16 @@
     assert 4 <= tried <= 11
 
 
+def test_a_run_that_ends_while_it_waits_for_a_call_is_answered_at_once() -> None:
+    net = booted()
+    caller = net.caller()
+    ref = net.ask(caller, 1, "book", k="a")
+    net.tell(event="IOREQ", cursor=None, handle=ref, arg="")
+    net.reactor.tcpClients.pop()[2].clientConnectionFailed(None, net.failure(ConnectionRefusedError()))
+    net.tell(event="REAP", cursor=None, handle=ref, fate="failed", lasted=5)
+    assert error(net.answers(caller))["message"] == "run failed" and not net.instance.jobs
+
+
 def test_a_connection_that_the_ledger_closed_unseen_gets_no_call() -> None:
     net = booted()
     _, ref, line = at_call(net)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,9 +1,10 @@
 """Seeded random runs: the four rules hold after every step, under settings of every kind."""
 
 import random
+from typing import Any
 
 import pytest
-from helpers import FacadeHost, Host
+from helpers import FacadeHost, FarKernel, Host, Net
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -68,6 +69,146 @@
             return
 
 
+class Fleet:
+    """Seeded peers of one instance, over transports in memory; what they are owed is checked as time goes."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance, self.net = random.Random(seed), Net()
+        self.kernel = FarKernel(self.net)
+        self.callers: list[Any] = []
+        self.lines: list[Any] = []
+        self.former: list[Any] = []
+        self.number = 0
+        self.owed: dict[tuple[int, int], tuple[str, float, str]] = {}  # by caller, id: ref, due, key
+        self.keys: dict[str, str] = {}
+        self.bidden: set[int] = set()  # callers that heard a farewell
+        self.kernel.connect()
+        self.settle()
+
+    def settle(self) -> None:
+        """All that was sent is read at the far ends, and answers are checked off."""
+        self.kernel.read()
+        now = self.net.reactor.seconds()
+        for caller in list(self.callers):
+            for answer in self.net.answers(caller):
+                self.bidden |= {id(caller)} if "method" in answer else set()
+                if "method" in answer or answer["id"] is None:
+                    continue
+                ref, due, _ = self.owed.pop((id(caller), answer["id"]))
+                assert now <= due + 0.11, "late"
+                if "result" in answer:
+                    # A repeat may carry the result of the run that it repeats, and no other.
+                    assert answer["result"]["doc"].startswith("of") and (
+                        answer["result"]["doc"] == f"of{ref}" or self.keys.get(ref, "") != "")
+                self.kernel.over(ref)
+            if id(caller) in self.bidden and not any(owner == id(caller) for owner, _ in self.owed):
+                self.leave_caller(caller)
+        assert all(now <= due + 0.11 for _, due, _ in self.owed.values()), "lost"
+        assert not [line for line in self.net.log.lines if line["event"].endswith("-fault")
+                    and line["code"] not in ("unknown-handle",)], self.net.log.lines
+
+    def ask(self) -> None:
+        caller, self.number = self.chance.choice(self.callers), self.number + 1
+        if id(caller) in self.bidden:
+            return
+        wait = self.chance.choice([200, 1_500, 4_000])
+        key = f"k{self.chance.randrange(4)}" if self.chance.random() < 0.3 else ""
+        if sum(owner == id(caller) for owner, _ in self.owed) < 32:
+            due = self.net.reactor.seconds() + wait / 1_000
+            ref = self.net.ask(caller, self.number, "book" if key else "look", d=wait, k=key)
+            self.owed[id(caller), self.number] = ref, due, key
+            self.keys[ref] = key
+
+    def step(self) -> None:
+        what, chance, net = self.chance.random(), self.chance, self.net
+        runs = [handle for handle, state in self.kernel.state.items() if state == "runs"]
+        if not self.callers or what < 0.04:
+            if len(self.callers) < 6 and not net.instance.leaving:
+                self.callers.append(net.caller())
+        elif what < 0.4:
+            self.ask()
+        elif what < 0.6 and runs:
+            self.kernel.end(chance.choice(runs), chance.choice(["ok", "ok", "ok", "failed"]))
+        elif what < 0.72 and runs:
+            self.kernel.block(chance.choice(runs))
+        elif what < 0.75 and (waits := [h for h, state in self.kernel.state.items() if state == "waits"]):
+            self.kernel.end(chance.choice(waits), "halted")  # its caller's giving up is known there first
+        elif what < 0.8:
+            self.kernel.lose()
+        elif what < 0.88:
+            self.kernel.connect()
+        elif what < 0.9:
+            self.settle()  # or the answer would be on its way
+            if not self.owed:
+                return
+            (owner, number), (ref, *_) = chance.choice(list(self.owed.items()))
+            caller = next(c for c in self.callers if id(c) == owner)
+            net.send(caller, jsonrpc="2.0", method="revoke", params={"i": ref})
+            self.owed.pop((owner, number), None)
+            self.kernel.over(ref)
+        elif what < 0.92:
+            self.settle()
+            if self.callers:
+                self.leave_caller(chance.choice(self.callers))
+        elif what < 0.93 and self.callers:
+            chance.choice(self.callers).dataReceived(b"Content-Length: 1\r\n\r\n{")
+        self.ledger()
+
+    def leave_caller(self, caller: Any) -> None:
+        self.callers.remove(caller)
+        self.former.append(caller)  # keeps its id from being used again
+        gone = [self.owed.pop(each)[0] for each in list(self.owed) if each[0] == id(caller)]
+        self.net.lose(caller, clean=self.chance.random() < 0.5)
+        for ref in gone:
+            self.kernel.over(ref)
+
+    def ledger(self) -> None:
+        net, chance = self.net, self.chance
+        while any(client[0] == "127.0.1.2" for client in net.reactor.tcpClients):
+            if chance.random() < 0.2:
+                at = next(i for i, c in enumerate(net.reactor.tcpClients) if c[0] == "127.0.1.2")
+                net.reactor.tcpClients.pop(at)[2].clientConnectionFailed(None, net.failure(OSError()))
+                break
+            self.lines.append(net.connect("127.0.1.2"))
+        for line in list(self.lines):
+            if line.transport.disconnected:
+                self.lines.remove(line)
+                net.lose(line)
+            elif line.call is not None and chance.random() < 0.5:
+                how = chance.random()
+                if how < 0.1:
+                    self.lines.remove(line)
+                    net.lose(line, clean=False)
+                elif how < 0.2:
+                    line.dataReceived(b"nonsense")
+                else:
+                    status = chance.choice([b"200 OK", b"200 OK", b"500 No", b"503 No\r\nOp-Not-Begun: 1"])
+                    line.dataReceived(b"HTTP/1.1 " + status + b"\r\nContent-Length: 2\r\n\r\nok")
+
+
+@settings(derandomize=True, max_examples=60, deadline=None, suppress_health_check=list(HealthCheck))
+@given(seed=st.integers(0, 10**6))
+def test_peers_and_links_of_every_kind_cost_no_txn_its_one_answer(seed: int) -> None:
+    fleet = Fleet(seed)
+    net, chance = fleet.net, fleet.chance
+    for number in range(250):
+        if number == 200:
+            net.instance.leave()
+        fleet.step()
+        fleet.settle()
+        net.pass_time(chance.choice([0.002, 0.02, 0.06]), 0.002)
+        fleet.settle()
+    for _ in range(100):
+        fleet.kernel.connect()
+        fleet.ledger()
+        for handle in [handle for handle, state in fleet.kernel.state.items() if state == "runs"]:
+            fleet.kernel.end(handle, "ok")
+        net.pass_time(0.02)
+        fleet.settle()
+    assert not net.instance.jobs and not net.instance.facade.open and net.instance.callers.held == 0
+    assert not fleet.owed and len(fleet.kernel.started) == len(set(fleet.kernel.started))
+
+
 def test_same_events_same_decisions() -> None:
     def run() -> list[str]:
         host, chance = Host(instance__say="weight"), random.Random(3)
