--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -80,7 +80,9 @@
         self.former: list[Any] = []
         self.number = 0
         self.owed: dict[tuple[int, int], tuple[str, float, str]] = {}  # by caller, id: ref, due, key
-        self.keys: dict[str, str] = {}
+        self.keys: dict[str, tuple[str, float]] = {}  # by ref: key and landing
+        self.ran: dict[str, list[float]] = {}
+        self.checked = 0
         self.bidden: set[int] = set()  # callers that heard a farewell
         self.kernel.connect()
         self.settle()
@@ -88,6 +90,11 @@
     def settle(self) -> None:
         """All that was sent is read at the far ends, and answers are checked off."""
         self.kernel.read()
+        while self.checked < len(self.kernel.started):
+            key, landed = self.keys[self.kernel.started[self.checked]]
+            assert not key or all(landed >= other + 2.0 for other in self.ran.get(key, [])), "duplicate"
+            self.ran.setdefault(key, []).append(landed)
+            self.checked += 1
         now = self.net.reactor.seconds()
         for caller in list(self.callers):
             for answer in self.net.answers(caller):
@@ -99,7 +106,7 @@
                 if "result" in answer:
                     # A repeat may carry the result of the run that it repeats, and no other.
                     assert answer["result"]["doc"].startswith("of") and (
-                        answer["result"]["doc"] == f"of{ref}" or self.keys.get(ref, "") != "")
+                        answer["result"]["doc"] == f"of{ref}" or self.keys[ref][0] != "")
                 self.kernel.over(ref)
             if id(caller) in self.bidden and not any(owner == id(caller) for owner, _ in self.owed):
                 self.leave_caller(caller)
@@ -117,7 +124,7 @@
             due = self.net.reactor.seconds() + wait / 1_000
             ref = self.net.ask(caller, self.number, "book" if key else "look", d=wait, k=key)
             self.owed[id(caller), self.number] = ref, due, key
-            self.keys[ref] = key
+            self.keys[ref] = key, due - wait / 1_000
 
     def step(self) -> None:
         what, chance, net = self.chance.random(), self.chance, self.net
