--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -191,10 +191,11 @@
     assert caller.transport.disconnecting and caller.code == "half-message"
 
 
-def test_a_run_over_before_its_call_gives_the_call_up() -> None:
+@pytest.mark.parametrize("params", [{"id": 1}, {"i": "REF"}])
+def test_a_run_over_before_its_call_gives_the_call_up(params: dict[str, Any]) -> None:
     net = booted()
     caller, ref, line = at_call(net)
-    net.send(caller, jsonrpc="2.0", method="revoke", params={"i": ref})
+    net.send(caller, jsonrpc="2.0", method="revoke", params=params if "id" in params else {"i": ref})
     net.tell(event="REAP", cursor=None, handle=ref, fate="halted", lasted=5)
     assert line.transport.disconnected and net.answers(caller) == [] and not net.instance.jobs
 
