--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -172,7 +172,7 @@
         self.skipped_to = 0  # a gap up to here was seen twice: the notices in it are gone for good
         self.delay = RELINK[0]
         self.stopping = False
-        self.uncarried: dict[str, tuple[bytes, str]] = {}  # by handle, in the order of their sending
+        self.uncarried: dict[str, bytes] = {}  # by handle, in the order of their sending
         self.resent: set[str] = set()
         self.tickets = 0
         self.asked: dict[str, Deferred[Any]] = {}
@@ -212,7 +212,7 @@
     def _command(self, ref: str, event: str, **fields: object) -> None:
         line = encode(event, handle=ref, **fields)
         self.uncarried.pop(ref, None)
-        self.uncarried[ref] = line, event
+        self.uncarried[ref] = line
         if self.ready and self.link is not None:
             self.link.transport.write(line)
 
@@ -306,7 +306,7 @@
         self.ready = True
         if self.cursor or self.resent:
             self.resent |= set(self.uncarried)
-        for line, _ in self.uncarried.values():
+        for line in self.uncarried.values():
             self.link.transport.write(line)
 
     def _notice(self, notice: Notice) -> None:
