--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -304,7 +304,7 @@
         if self.link is None:
             return
         self.ready = True
-        if self.cursor or self.resent:
+        if self.cursor:
             self.resent |= set(self.uncarried)
         for line in self.uncarried.values():
             self.link.transport.write(line)
