--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -251,10 +251,6 @@
         self._pull()
         return Step(Do.DONE if entry.txn.stage is Stage.OVER else Do.WAIT)
 
-    def turn_back(self, intake: Intake, why: str) -> None:
-        """A txn that is not taken in at all; the brain never hears of it."""
-        intake.answer(Answer(Kind.VOIDED, why=why))
-
     def tick(self, now: int, gauges: Sequence[float] | None) -> None:
         """Moves time; `gauges` in the settings' order, None where none could be had."""
         told = dict(zip(self.gauges, gauges, strict=False)) if gauges else {}
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -233,8 +233,13 @@
     return value
 
 
+def said(value: float | None) -> dict[str, object]:
+    """The free value, on whatever is answered."""
+    return {} if value is None else {"v": value}
+
+
 def encode_answer(number: int, answer: Answer, value: float | None) -> bytes:
-    data: dict[str, object] = {} if value is None else {"v": value}
+    data = said(value)
     if answer.kind is Kind.SETTLED:
         return frame(orjson.dumps({"jsonrpc": "2.0", "id": number, "result": {"doc": answer.doc} | data}))
     if answer.kind is Kind.VOIDED:
@@ -364,8 +369,7 @@
                 self.close(self.spoiled)
 
     def checked(self, number: int, ready: bool) -> None:
-        value = self.callers.service.value()
-        result: dict[str, object] = {"ready": ready} | ({} if value is None else {"v": value})
+        result: dict[str, object] = {"ready": ready} | said(self.callers.service.value())
         self.send(frame(orjson.dumps({"jsonrpc": "2.0", "id": number, "result": result})))
 
     def send(self, data: bytes) -> None:
@@ -412,11 +416,14 @@
 
     def resumeProducing(self) -> None:
         self.stalled = False
+        for data in self.clear_backlog():
+            self.send(data)
+
+    def clear_backlog(self) -> list[bytes]:
         waiting, self.backlog = self.backlog, []
         self.callers.unread -= self.backlog_size
         self.backlog_size = 0
-        for data in waiting:
-            self.send(data)
+        return waiting
 
     def stopProducing(self) -> None:
         self.stalled = False
@@ -445,21 +452,20 @@
 
     def left(self, connection: Connection, unanswered: int) -> None:
         self.connections.pop(connection, None)
-        self.unread -= connection.backlog_size
-        connection.backlog_size = 0
+        connection.clear_backlog()
         self.log.event("connection-end", connection.code, asked=connection.asked, unanswered=unanswered)
 
     def admit(self, intake: Intake) -> None:
         """Bodies in hand are bounded: past the bound a txn is told at the door that it never ran."""
-        if self.held + len(intake.doc) + TXN_TAKES > self.held_most:
+        if self.held + taken(intake) > self.held_most:
             self.log.event("turned-away", "held-bodies")
             intake.answer(Answer(Kind.DECLINED, why="no memory"))
             return
-        self.held += len(intake.doc) + TXN_TAKES
+        self.held += taken(intake)
         self.service.serve(intake)
 
     def released(self, intake: Intake) -> None:
-        self.held -= len(intake.doc) + TXN_TAKES
+        self.held -= taken(intake)
 
     def sweep(self) -> None:
         """Closes what was silent past the limit: the farewell lets the peer close, so that nothing is on
@@ -486,6 +492,11 @@
             connection.say_farewell()
 
 
+def taken(intake: Intake) -> int:
+    """Bytes of the process's memory that a txn in hand takes."""
+    return len(intake.doc) + TXN_TAKES
+
+
 class Rejected(Wire):
     """A connection past the bound: closed at once, so that those that are open stay."""
 
--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -149,10 +149,13 @@
         self.kernel.linked(self)
 
     def dataReceived(self, data: bytes) -> None:
+        if self.kernel.link is not self:
+            return
         try:
             for line in self.lines.feed(data):
-                if self.kernel.link is self:
-                    self.kernel.guarded(line)
+                self.kernel.guarded(line)
+                if self.kernel.link is not self:
+                    return
         except BadLine:
             self.kernel.distrust(self, "oversize")
 
@@ -260,8 +263,10 @@
             self.delay = min(2 * self.delay, RELINK[1])
 
     def distrust(self, link: Link, code: str) -> None:
+        """The link is over at once: what else came on it is not read any more."""
         self.log.event("link-fault", code)
         link.transport.abortConnection()
+        self.unlinked(link, code)
 
     def buildProtocol(self, addr: object) -> Link:
         return Link(self)
@@ -317,8 +322,6 @@
             # One that is missing may be somebody's end: asked for once more before it is given up.
             self.skipped_to = notice.cursor
             self.distrust(self.link, "gap")
-            self.link.lines.data.clear()
-            self.unlinked(self.link, "a gap in the notices")
             return
         self.cursor = notice.cursor
         if notice.news is None:
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -110,11 +110,15 @@
         self.line: Line | None = None
         self.timer = ledger.reactor.callLater(wait / 1_000_000, self.time_out)
 
+    def _finish(self) -> bool:
+        """True for the first that ends it."""
+        first, self.over = not self.over, True
+        if self.timer.active():
+            self.timer.cancel()
+        return first
+
     def end(self, end: End, body: bytes = b"") -> None:
-        if not self.over:
-            self.over = True
-            if self.timer.active():
-                self.timer.cancel()
+        if self._finish():
             self.done.callback(Called(end, int((self.ledger.reactor.seconds() - self.begun) * 1e6), body))
 
     def time_out(self) -> None:
@@ -132,11 +136,8 @@
 
     def abandon(self) -> None:
         """Its run is over: nobody waits for how it went."""
-        if not self.over:
-            self.drop()
-            self.over = True
-            if self.timer.active():
-                self.timer.cancel()
+        self.drop()
+        self._finish()
 
 
 class Line(Wire):
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -22,7 +22,7 @@
 
 from limeridge import __version__
 from limeridge.config import Setup
-from limeridge.facade import Blocked, Called, Do, End, Ended, Facade, Intake, News, Step
+from limeridge.facade import Answer, Blocked, Called, Do, End, Ended, Facade, Intake, Kind, News, Step
 from limeridge.net.callers import SWEEP, Callers, Decoder, close_listener
 from limeridge.net.kernel import Kernel
 from limeridge.net.ledger import Call, Ledger
@@ -103,10 +103,13 @@
         self.guarded(self.kernel.connect)
         for call, every in ((self.callers.sweep, SWEEP), (self.ledger.sweep, 1.0), (self.report, EVERY),
                             (self.facade.guard, GUARD)):
-            loop = LoopingCall(self.guarded, call)
-            loop.clock = self.reactor
-            loop.start(every, now=False)
-            self.loops.append(loop)
+            self.repeat(call, every)
+
+    def repeat(self, call: Callable[[], None], every: float) -> None:
+        loop = LoopingCall(self.guarded, call)
+        loop.clock = self.reactor
+        loop.start(every, now=False)
+        self.loops.append(loop)
 
     def listen(self, tries: int) -> None:
         """A predecessor under this address may still be dying."""
@@ -143,7 +146,7 @@
     def serve(self, intake: Intake) -> None:
         if intake.ref in self.jobs:
             self.log.event("bad-message", "ref in use")
-            self.facade.turn_back(intake, "ref in use")
+            intake.answer(Answer(Kind.VOIDED, why="ref in use"))
             self.callers.released(intake)
             return
         job = self.jobs[intake.ref] = Job(intake)
@@ -252,10 +255,7 @@
         self.guarded(self.callers.farewell)
         if self.port is not None:
             self.guarded(lambda: close_listener(self.port, self.callers))
-        loop = LoopingCall(self.guarded, self.drained)
-        loop.clock = self.reactor
-        loop.start(BETWEEN, now=False)
-        self.loops.append(loop)
+        self.repeat(self.drained, BETWEEN)
 
     def drained(self) -> None:
         """Ends when nobody is connected and nothing is open, or just before the kill."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -469,9 +469,6 @@
     def answers(self, caller: Any) -> list[dict[str, Any]]:
         return [orjson.loads(body) for body in Frames().feed(caller.transport.sent())]
 
-    def failure(self, trouble: Exception) -> Failure:
-        return Failure(trouble)
-
     def lose(self, protocol: Any, clean: bool = True) -> None:
         protocol.connectionLost(Failure(ConnectionDone() if clean else ConnectionLost()))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 import pytest
 from helpers import Net
 from twisted.internet.error import ConnectionRefusedError
+from twisted.python.failure import Failure
 
 from limeridge.net.callers import HEAD_MOST, OPEN_MOST, UNREAD_MOST, Rejected
 from limeridge.net.log import MOST, Log
@@ -129,7 +130,7 @@
         caller, _ref = net.caller(), ""
         net.tell(event="IOREQ", cursor=None, handle=net.ask(caller, 1), arg="")
         factory = net.reactor.tcpClients.pop()[2]
-        factory.clientConnectionFailed(None, net.failure(ConnectionRefusedError()))
+        factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
     else:
         caller, _ref, line = at_call(net)
         if how == "broken":
@@ -156,7 +157,7 @@
     for _ in range(500):
         for client in [client for client in net.reactor.tcpClients if client[0] == "127.0.1.2"]:
             net.reactor.tcpClients.remove(client)
-            client[2].clientConnectionFailed(None, net.failure(ConnectionRefusedError()))
+            client[2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
             tried += 1
         net.pass_time(0.001, 0.001)
         net.commands()
@@ -168,7 +169,7 @@
     caller = net.caller()
     ref = net.ask(caller, 1, "book", k="a")
     net.tell(event="IOREQ", cursor=None, handle=ref, arg="")
-    net.reactor.tcpClients.pop()[2].clientConnectionFailed(None, net.failure(ConnectionRefusedError()))
+    net.reactor.tcpClients.pop()[2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
     net.tell(event="REAP", cursor=None, handle=ref, fate="failed", lasted=5)
     assert error(net.answers(caller))["message"] == "run failed" and not net.instance.jobs
 
@@ -376,7 +377,7 @@
     net.send(caller, jsonrpc="2.0", id=1, method="heartbeat")
     assert net.answers(caller)[0]["result"]["ready"] is False
     for _ in range(5):
-        net.reactor.tcpClients.pop()[2].clientConnectionFailed(None, net.failure(ConnectionRefusedError()))
+        net.reactor.tcpClients.pop()[2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
         net.pass_time(1.1)
     assert not net.reactor.reports
     net.boot()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,6 +7,7 @@
 from helpers import FacadeHost, FarKernel, Host, Net
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from twisted.python.failure import Failure
 
 from limeridge.interface import Outcome, Stage
 
@@ -174,7 +175,7 @@
         while any(client[0] == "127.0.1.2" for client in net.reactor.tcpClients):
             if chance.random() < 0.2:
                 at = next(i for i, c in enumerate(net.reactor.tcpClients) if c[0] == "127.0.1.2")
-                net.reactor.tcpClients.pop(at)[2].clientConnectionFailed(None, net.failure(OSError()))
+                net.reactor.tcpClients.pop(at)[2].clientConnectionFailed(None, Failure(OSError()))
                 break
             self.lines.append(net.connect("127.0.1.2"))
         for line in list(self.lines):
