Take up new configurations at SIGHUP: kernel, ledger and node list move under load

Cause: net/service.run handled SIGTERM and SIGINT only. Ruled out: memory (21 of 80 MB), descriptors (26 of 512). Change: config.py reads the file again; the kernel's link is kept until the new one stands, tries to old addresses come to nothing, calls out end where they are, a bad or half-written file changes nothing and is read again for 3 s; what needs a restart is logged. A break of the link under 1.5 s is not told as ill health any more (kernel.present). Reports to the node list go out each 0.3 s instead of 0.5, as reports get lost.

--- a/limeridge/__main__.py
+++ b/limeridge/__main__.py
@@ -14,6 +14,8 @@
 
 
 def main() -> int:
+    # Against a notice of new configuration that comes before there is anybody to read it: it would end us.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Against a log that goes into a socket which got the number of a closed standard stream.
     for stream in (0, 1, 2):
         try:
@@ -29,7 +31,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     from limeridge.net.service import run
 
-    return run(setup)
+    return run(setup, lambda: read(path_from()))
 
 
 if __name__ == "__main__":
--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -25,6 +25,8 @@
 LINE_MOST = 65_536  # bytes of a line
 RELINK = (0.02, 1.0)  # seconds between tries, the first and the longest
 CONNECT = 2.0  # seconds that one try may take
+PATIENCE = 1.5  # seconds without a link after which the kernel counts as away: a short break is no ill health
+HAND_OVER = 2.0  # seconds that a link which another replaced gets to end by itself
 FENCE = "fence"  # the ticket of the gauges asked for behind a cursor: its answer ends the repeated notices
 
 ENDS = {"ok": End.OK, "failed": End.FAILED, "halted": End.STOPPED, "void": End.NEVER_BEGAN}
@@ -141,8 +143,8 @@
 class Link(Wire):
     transport: Any
 
-    def __init__(self, kernel: Kernel) -> None:
-        self.kernel, self.lines = kernel, Lines()
+    def __init__(self, kernel: Kernel, dial: Dial) -> None:
+        self.kernel, self.dial, self.lines = kernel, dial, Lines()
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -163,9 +165,22 @@
         self.kernel.unlinked(self, reason.getErrorMessage())
 
 
-class Kernel(ClientFactory):
+class Dial(ClientFactory):
+    """One try to link. One that another has replaced, as the address is new, must come to nothing."""
+
     noisy = False
 
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    def buildProtocol(self, addr: object) -> Link:
+        return Link(self.kernel, self)
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self.kernel.unreached(self, reason.getErrorMessage())
+
+
+class Kernel:
     def __init__(self, service: Service, reactor: Any, host: str, port: int, log: Log) -> None:
         self.service, self.reactor, self.host, self.port, self.log = service, reactor, host, port, log
         self.link: Link | None = None
@@ -175,17 +190,38 @@
         self.skipped_to = 0  # a gap up to here was seen twice: the notices in it are gone for good
         self.delay = RELINK[0]
         self.stopping = False
+        self.dial: Dial | None = None  # the try that is under way
+        self.redial: Any = None  # the timer of the next one
+        self.lost_at = 0.0  # when the link was last good
         self.uncarried: dict[str, bytes] = {}  # by handle, in the order of their sending
         self.resent: set[str] = set()
         self.tickets = 0
         self.asked: dict[str, Deferred[Any]] = {}
 
+    @property
+    def present(self) -> bool:
+        """Whether the kernel is up, as far as the link can tell: a break that is soon over says nothing."""
+        return self.ready or (self.booted and self.reactor.seconds() - self.lost_at < PATIENCE)
+
     def connect(self) -> None:
+        self._no_redial()
         if not self.stopping:
-            self.reactor.connectTCP(self.host, self.port, self, timeout=CONNECT)
+            self.dial = Dial(self)
+            self.reactor.connectTCP(self.host, self.port, self.dial, timeout=CONNECT)
+
+    def move(self, host: str, port: int) -> None:
+        """New configuration: the old link serves until the new one stands."""
+        self.host, self.port, self.delay = host, port, RELINK[0]
+        self.connect()
+
+    def _no_redial(self) -> None:
+        if self.redial is not None and self.redial.active():
+            self.redial.cancel()
+        self.redial = None
 
     def stop(self) -> None:
         self.stopping = True
+        self._no_redial()
         if self.link is not None:
             self.link.transport.loseConnection()
 
@@ -239,27 +275,39 @@
     # ---- the link
 
     def linked(self, link: Link) -> None:
-        old, self.link, self.ready = self.link, link, False
-        if old is not None:
-            old.transport.abortConnection()
+        if self.dial is not link.dial or self.stopping:
+            link.transport.abortConnection()
+            return
+        self._unready()
+        old, self.link, self.dial = self.link, link, None
+        if old is not None:  # what was written to it last must not be lost with it
+            old.transport.loseConnection()
+            self.reactor.callLater(HAND_OVER, old.transport.abortConnection)
         self.log.event("link-up", cursor=self.cursor)
         link.transport.write(encode("OPEN", cursor=self.cursor))
 
     def unlinked(self, link: Link, why: str) -> None:
         if self.link is not link:
             return
-        self.link, self.ready = None, False
+        self._unready()
+        self.link = None
         self.log.event("link-down", "stopped" if self.stopping else "lost", why=why[:200],
                        cursor=self.cursor, uncarried=len(self.uncarried))
         self._relink()
 
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        self.log.event("link-down", "unreached", why=reason.getErrorMessage()[:200])
-        self._relink()
+    def _unready(self) -> None:
+        if self.ready:
+            self.ready, self.lost_at = False, self.reactor.seconds()
+
+    def unreached(self, dial: Dial, why: str) -> None:
+        if self.dial is dial:
+            self.dial = None
+            self.log.event("link-down", "unreached", why=why[:200])
+            self._relink()
 
     def _relink(self) -> None:
-        if not self.stopping:
-            self.reactor.callLater(self.delay, self.connect)
+        if not self.stopping and self.dial is None and self.redial is None:
+            self.redial = self.reactor.callLater(self.delay, self.connect)
             self.delay = min(2 * self.delay, RELINK[1])
 
     def distrust(self, link: Link, code: str) -> None:
@@ -268,9 +316,6 @@
         link.transport.abortConnection()
         self.unlinked(link, code)
 
-    def buildProtocol(self, addr: object) -> Link:
-        return Link(self)
-
     def guarded(self, line: bytes) -> None:
         """What goes wrong with one notice must not cost the link, and with it all others."""
         try:
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -150,6 +150,7 @@
         self.call: Call | None = None
         self.idle_since = 0.0
         self.used = 0
+        self.address = ledger.host, ledger.port
         self.code = ""
 
     def connectionMade(self) -> None:
@@ -190,7 +191,7 @@
             return
         status, not_begun, body = reply
         self.call = call.line = None
-        if self.replies.last:
+        if self.replies.last or self.address != (self.ledger.host, self.ledger.port):
             self.close("last-reply")
         else:
             self.ledger.free(self)
@@ -231,6 +232,12 @@
         self._open()
         return call
 
+    def move(self, host: str, port: int) -> None:
+        """New configuration: calls go there from now on; those that are out end where they are."""
+        self.host, self.port = host, port
+        for line in [*self.idle]:
+            line.close("moved")
+
     def _open(self) -> None:
         wanted = sum(not call.over for call in self.waiting)
         if wanted > self.opening and self.connections < self.most:
--- a/limeridge/net/nodelist.py
+++ b/limeridge/net/nodelist.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-EVERY = 0.5  # seconds between reports; the list drops who was silent for 3
+EVERY = 0.3  # seconds between reports; the list drops who was silent for 3, and reports get lost
 
 
 class NodeList(DatagramProtocol):
@@ -19,6 +19,10 @@
     def __init__(self, name: str, host: str, port: int) -> None:
         self.name, self.host, self.port = name, host, port
 
+    def move(self, host: str, port: int) -> None:
+        """New configuration: reports go there from now on."""
+        self.host, self.port = host, port
+
     def report(self, on: bool) -> None:
         transport: Any = self.transport
         if transport is not None:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -12,6 +12,8 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
+from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
@@ -21,7 +23,7 @@
 from twisted.python.failure import Failure
 
 from limeridge import __version__
-from limeridge.config import Setup
+from limeridge.config import Setup, Unusable
 from limeridge.facade import Answer, Blocked, Called, Do, End, Ended, Facade, Intake, Kind, News, Step
 from limeridge.net.callers import SWEEP, Callers, Decoder, close_listener
 from limeridge.net.kernel import Kernel
@@ -36,9 +38,13 @@
 LISTEN_EVERY, LISTEN_TRIES = 0.05, 100  # seconds, times
 LAST_CALL = 0.08  # seconds before the kill at which the process ends, whatever is still open
 QUIET = 0.15  # seconds without a connection or an open txn after which a drained instance ends
+READ_AGAIN, READ_TRIES = 0.5, 6  # seconds, times, that a configuration which can't be used is read again
 BETWEEN = 0.05  # seconds between two looks at the drain
 
 
+FIXED = ("name", "listen", "seed", "memory_mb", "sockets", "products", "customers", "plain")
+
+
 class Job:
     """One txn in hand: its news in order, for the one handler that reads them."""
 
@@ -68,8 +74,9 @@
 class Instance:
     """One service instance."""
 
-    def __init__(self, setup: Setup, reactor: Any, log: Log) -> None:
-        self.setup, self.reactor, self.log = setup, reactor, log
+    def __init__(self, setup: Setup, reactor: Any, log: Log, reread: Callable[[], Setup]) -> None:
+        self.setup, self.reactor, self.log, self.reread = setup, reactor, log, reread
+        self.reading: Any = None  # the timer of another look at a configuration that could not be used
         plain = setup.plain
         self.leaving = False
         self.kill_at = 0.0
@@ -224,8 +231,8 @@
     def check(self, deep: bool, answer: Callable[[bool], None]) -> None:
         """From store, as the brain wants it. Whether work gets done is asked of the kernel only where no
         run has ended well since the last such question."""
-        ready = self.facade.healthy and self.kernel.ready and not self.leaving
-        if not deep or not ready or self.work_seen:
+        ready = self.facade.healthy and self.kernel.present and not self.leaving
+        if not deep or not ready or self.work_seen or not self.kernel.ready:
             self.work_seen = self.work_seen and not deep
             answer(ready)
         else:
@@ -238,9 +245,36 @@
             lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(self.met, "tick-fault")
 
     def report(self) -> None:
-        if self.kernel.ready and not self.leaving:  # without its kernel it can start nothing
+        if self.kernel.present and not self.leaving:  # without its kernel it can start nothing
             self.node_list.report(self.facade.healthy)
 
+    # ---- new configuration
+
+    def reload(self, tries: int = READ_TRIES) -> None:
+        """At SIGHUP, also while draining. A file that can't be used, or is not whole yet, changes nothing."""
+        if self.reading is not None and self.reading.active():
+            self.reading.cancel()
+        try:
+            new = self.reread()
+        except Unusable as unusable:
+            self.log.event("reload", "unusable", why=" ".join(str(unusable).split()), tries_left=tries)
+            if tries:
+                again = partial(self.reload, tries - 1)
+                self.reading = self.reactor.callLater(READ_AGAIN, self.guarded, again)
+            return
+        old = self.setup
+        moved: dict[str, Any] = {"kernel": self.kernel, "ledger": self.ledger, "node_list": self.node_list}
+        moved = {name: part for name, part in moved.items() if getattr(new, name) != getattr(old, name)}
+        # Open txns, runs and what the brain has learned hang on the rest: it stays until a restart.
+        kept = [name for name in FIXED if getattr(new, name) != getattr(old, name)]
+        self.setup = replace(
+            old, kernel=new.kernel, ledger=new.ledger, node_list=new.node_list, stop=new.stop)
+        self.log.event("reload", "taken", moved=sorted(moved), needs_restart=kept)
+        for name, part in moved.items():
+            address = getattr(new, name)
+            self.guarded(partial(part.move, address.host, address.port))
+        self.guarded(self.report)
+
     # ---- drain
 
     def leave(self) -> None:
@@ -277,15 +311,16 @@
         self.reactor.callLater(0, self.reactor.stop)
 
 
-def run(setup: Setup) -> int:
+def run(setup: Setup, reread: Callable[[], Setup]) -> int:
     from twisted.internet import reactor as the_reactor
 
     reactor: Any = the_reactor
     # Timers must not follow Unix time, which may step back and hold them up.
     reactor.seconds = time.monotonic
-    instance = Instance(setup, reactor, Log(setup.name))
+    instance = Instance(setup, reactor, Log(setup.name), reread)
     for notice in (signal.SIGTERM, signal.SIGINT):
         signal.signal(notice, lambda *_: reactor.callFromThread(instance.leave))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(instance.guarded, instance.reload))
     # Begun, as Twisted keeps 65,536 events for whoever begins later, with all that they hold on to.
     observer: Any = instance.observed
     globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -375,7 +375,11 @@
                                stopListening=lambda: None)
 
     def listenUDP(self, port: int, protocol: Any, interface: str = "") -> None:  # noqa: N802
-        self.write = lambda data, address: self.reports.append(data)
+        def write(data: bytes, address: tuple[str, int]) -> None:
+            self.reports.append(data)
+            self.reported_to = address
+
+        self.write = write
         protocol.transport = self
 
 
@@ -409,7 +413,9 @@
         self.reactor, self.log = Reactor(), Sink()
         self.reactor.advance(100.0)
         setup = setup_of(SAMPLE | changes)
-        self.instance = Instance(setup, self.reactor, self.log)  # type: ignore[arg-type]
+        self.file: dict[str, Any] = SAMPLE | changes  # what a reload finds
+        self.instance = Instance(setup, self.reactor, self.log,  # type: ignore[arg-type]
+                                 lambda: setup_of(self.file))
         self.unix = 1_764_576_000.0
         self.instance.callers.unix = lambda: self.unix + self.reactor.seconds() - 100.0
         self.instance.start()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,9 @@
 
 import ast
 import os
+import signal
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -386,8 +389,10 @@
     assert net.answers(caller)[0]["result"]["ready"] is True and net.reactor.reports
     net.reactor.reports.clear()
     net.lose(net.link, clean=False)  # and not come back
-    net.send(caller, jsonrpc="2.0", id=3, method="heartbeat")
     net.pass_time(2.0)
+    net.reactor.reports.clear()
+    net.send(caller, jsonrpc="2.0", id=3, method="heartbeat")
+    net.pass_time(1.0)
     assert net.answers(caller)[0]["result"]["ready"] is False and not net.reactor.reports
 
 
@@ -471,3 +476,86 @@
             ("limeridge.brain", "limeridge.interface", "limeridge.records", "limeridge.simhost"))}, path
     for path in (ROOT / "simhost").glob("*.py"):
         assert not {n for n in names_in(path) if n.startswith(("limeridge.net", "limeridge.facade"))}, path
+
+
+MOVED = {"kernel": "127.0.3.1:7301", "records": "127.0.3.2:8901", "roster": "127.0.3.3:7947"}
+
+
+def test_new_addresses_are_taken_up_and_runs_go_on() -> None:
+    net = booted()
+    caller, ref, line = at_call(net)
+    old, net.cursor = net.link, 1
+    net.file |= MOVED | {"listen": "127.0.0.1:9999"}
+    net.instance.reload()
+    assert net.log.lines[-1]["moved"] == ["kernel", "ledger", "node_list"]
+    assert net.log.lines[-1]["needs_restart"] == ["listen"]
+    assert net.reactor.reported_to == ("127.0.3.3", 7947)
+    net.tell(event="DMESG", cursor=None, fate="")  # the old link is read until the new one stands
+    line.dataReceived(REPLY)  # and a call that is out ends where it is
+    net.link = net.connect("127.0.3.1")
+    assert [c["cursor"] for c in net.commands()] == [2] and old.transport.disconnecting
+    net.lose(old)
+    old.dataReceived(b'{"event":"DMESG","cursor":3,"fate":""}\n')
+    assert net.instance.kernel.link is net.link and net.instance.kernel.cursor == 2
+    net.tell(event="BOOTED", fate="warm", lasted=60_000)
+    net.tell(event="INFO", ticket="fence", figures=[0, 0, 0, 0])
+    assert [c["event"] for c in net.commands()] == ["IODONE"]
+    net.tell(event="IOREQ", cursor=None, handle=ref, arg="Y2FsbA==")
+    assert net.connect("127.0.3.2").transport.sent().startswith(b"POST")
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=30, arg="ZG9uZQ==")
+    assert [a["result"]["doc"] for a in net.answers(caller)] == ["ZG9uZQ=="]
+    net.pass_time(3.0)
+    assert not [c for c in net.reactor.tcpClients if c[0] == "127.0.1.1"]
+
+
+def test_a_file_that_can_t_be_used_changes_nothing_and_is_read_again() -> None:
+    net = booted()
+    good, net.file = net.file | MOVED, net.file | {"records": "nowhere"}
+    net.instance.reload()
+    assert net.log.codes("reload") == ["unusable"] and "records" in net.log.lines[-1]["why"]
+    assert net.instance.ledger.host == "127.0.1.2"
+    net.file = good
+    net.pass_time(0.6)
+    assert net.log.codes("reload") == ["unusable", "taken"] and net.instance.ledger.host == "127.0.3.2"
+    net.file = {}
+    net.instance.reload()
+    net.pass_time(10.0)
+    assert net.log.codes("reload").count("unusable") == 8
+
+
+def test_a_try_to_link_that_an_address_has_outrun_comes_to_nothing() -> None:
+    net = Net()
+    net.file |= MOVED
+    net.instance.reload()
+    late = net.connect("127.0.1.1")
+    assert late.transport.disconnected and net.instance.kernel.link is None
+    net.lose(late)
+    net.connect("127.0.3.1")
+    net.pass_time(2.0)
+    assert net.instance.kernel.link is not None and not net.reactor.tcpClients
+
+
+def test_a_short_break_of_the_link_is_no_ill_health() -> None:
+    net = booted()
+    net.lose(net.link, clean=False)
+    caller = net.caller()
+    for deep, (wait, ready) in enumerate([(0.1, True), (0.1, True), (1.5, False)]):
+        net.reactor.reports.clear()
+        net.pass_time(wait)
+        net.send(caller, jsonrpc="2.0", id=deep + 1, method="heartbeat", params={"x": deep == 1})
+        assert [a["result"]["ready"] for a in net.answers(caller)] == [ready]
+    net.reactor.reports.clear()
+    net.pass_time(1.0)
+    assert not net.reactor.reports
+
+
+def test_a_notice_of_new_configuration_does_not_end_a_process_that_is_starting(tmp_path: Path) -> None:
+    """The real process: SIGHUP from its first statement on; its configuration is a pipe, so it waits."""
+    os.mkfifo(tmp_path / "config")
+    child = subprocess.Popen([sys.executable, "-m", "limeridge"], stderr=subprocess.PIPE, cwd=ROOT.parent,
+                             env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "config")})
+    with open(tmp_path / "config", "wb") as config:  # it reads by now
+        child.send_signal(signal.SIGHUP)
+        config.write(b"{}")
+    _, told = child.communicate(timeout=20)
+    assert child.returncode == 2 and b"seed" in told
