Bound what silent, abusive and flooding connections take from usual callers

Checked: descriptors (425 of 512), memory (23 of 80 MB), processor (0.58 of 0.85 cores in the worst second). At fault, net/callers: Callers.buildProtocol closes newcomers at the bound; WHOLE of 10 s, none for those that say nothing; Connection.refuse never ends a connection; dataReceived takes all of one read in one go. Change: what sent nothing whole within 2 s ends; strangers take a quarter of the places, a newcomer takes the place of the oldest of them or of the longest resting; 16 errors in a row, 32 voided, 64 taken back end a connection; 16 messages a turn. Also holds against port scans and broken callers that retry at once; it might hurt a caller behind a very slow way (2 s for a first message).

--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -41,6 +41,7 @@
     node_list: Address
     seed: int
     stop: int  # microseconds from the notice to leave to the kill
+    cores: float  # for the log alone: the program has one thread
     memory_mb: float
     sockets: int
     products: tuple[str, ...]  # the names that callers and the kernel use, as they stand in the file
@@ -139,6 +140,7 @@
         ledger=_address(value, "records"), node_list=_address(value, "roster"),
         seed=seed_number,
         stop=int(1_000 * _get(value, "stop_ms", FLOAT, 1, 3_600_000, 3_000)),
+        cores=float(_get(value, "limits.cores", FLOAT, 0.001, 1e6, 1.0)),
         memory_mb=float(_get(value, "limits.memory_mb", FLOAT, 16, 1e9, 192)),
         sockets=int(_get(value, "limits.sockets", INT, 32, 1e9, 1_024)),
         products=tuple(each["name"] for each in settings["classes"]),
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -32,7 +32,12 @@
 UNREAD_MOST = 262_144  # bytes of answers that a peer may leave unread; 32 answers fit
 CLOSE_AFTER = 1.0  # seconds that a peer gets to close after a farewell on an idle connection
 TXN_TAKES = 2_500  # bytes that a txn takes here besides its body
-WHOLE = 10.0  # seconds for a message to come whole, against peers that hold a place with half of one
+WHOLE = 2.0  # seconds for a message to come whole, against peers that hold a place with half of one or none
+BLAME_MOST = 32  # of errors (2 each) and voided txns (1) in a row, after which a connection is done with
+TAKEN_BACK = 64  # txns taken back in a row, none settled between
+TURN = 16  # messages of one connection that are taken before others get their turn
+STRANGERS = 4  # one in so many places may be taken by connections that sent nothing whole yet
+SETTLE = 0.05  # seconds that a new one gets to send its first bytes before it may lose its place
 SWEEP = 0.1  # seconds between two looks for idle connections
 
 PARSE, INVALID, NO_METHOD, BAD_FIELD = -32700, -32600, -32601, -32602
@@ -288,11 +293,13 @@
         self.backlog_size = 0
         self.stalled = False
         self.asked = 0
-        self.heard = callers.clock.seconds()
+        self.blame, self.taken_back = 0, 0
+        self.known = False  # sent a whole message that could be served
+        self.heard = self.since = callers.clock.seconds()
         self.farewell_at: float | None = None
         self.closed_at = 0.0
         self.spoiled = ""  # why nothing more is read
-        self.half_since = 0.0  # when the message that is not whole yet began
+        self.half_since = self.heard  # when the message that is not whole yet began
         self.code = ""
 
     def connectionMade(self) -> None:
@@ -307,32 +314,58 @@
         if not self.frames.begun:
             self.half_since = self.heard
         try:
-            for body in self.frames.feed(data):
+            for count, body in enumerate(self.frames.feed(data), 1):
                 self.half_since = self.heard
                 self.take(self.callers.decoder.decode(body))
+                if self.code or self.spoiled:
+                    return
+                if count >= TURN:  # against one that sends so much at once that all others wait
+                    self.transport.pauseProducing()
+                    self.callers.clock.callLater(0, self.go_on)
+                    return
         except BadFrame as bad:
             self.spoil(str(bad))
         except Exception as trouble:
             self.callers.log.fault("connection-fault", trouble)
             self.spoil("defect")
 
+    def go_on(self) -> None:
+        if not self.code and not self.spoiled:
+            self.transport.resumeProducing()
+            self.dataReceived(b"")
+
     def spoil(self, code: str) -> None:
         """Nothing more is read; what was read before is answered still, then the connection ends."""
         self.spoiled = code
         if not self.open:
             self.close(code)
+        elif not self.code:
+            self.transport.pauseProducing()  # against a peer that goes on sending at full speed
+
+    def blamed(self, weight: int) -> None:
+        """Against a peer that sends what can't be served again and again, each time costing a reading. A txn
+        may be voided for no fault of its caller's, so that is asked first to go."""
+        self.blame += weight
+        if self.blame >= BLAME_MOST and not self.spoiled and not self.code:
+            self.spoil("nothing-served")
+        elif weight == 1 and self.blame >= BLAME_MOST // 2:
+            self.say_farewell()
 
     def take(self, message: Message) -> None:
         match message:
             case Ask():
                 self.ask(message)
             case Heartbeat():
+                self.callers.knows(self)
                 self.callers.service.check(message.deep, lambda ready: self.checked(message.id, ready))
             case Revoke(number, ref):
                 if number not in self.open:
                     number = next((n for n, intake in self.open.items() if intake.ref == ref), 0)
                 if number in self.open:
                     self.callers.service.gone(self.open.pop(number))
+                    self.taken_back += 1
+                    if self.taken_back >= TAKEN_BACK and not self.open:  # against asking for nothing
+                        self.spoil("taken-back")
             case Fault():
                 self.refuse(message.id, message.code, message.why)
 
@@ -340,6 +373,7 @@
         self.callers.log.event("bad-message", why)
         # An answer under an id that is open would be taken for that txn's own.
         self.send(encode_error(None if number in self.open else number, code, why, {}))
+        self.blamed(2)
 
     def ask(self, ask: Ask) -> None:
         if ask.id in self.seen:
@@ -359,12 +393,17 @@
             max(0, int((ask.patience - age) * 1_000)), ask.size_kb, ask.doc,
             lambda answer: self.answer(ask.id, answer), ask.resent, int(ask.effort * 1_000), ask.key)
         self.open[ask.id] = intake
+        self.callers.knows(self)
         self.callers.admit(intake)
 
     def answer(self, number: int, answer: Answer) -> None:
         if self.open.pop(number, None) is not None:
             self.heard = self.callers.clock.seconds()
             self.send(encode_answer(number, answer, self.callers.service.value()))
+            if answer.kind is Kind.SETTLED:
+                self.blame = self.taken_back = 0
+            elif answer.kind is Kind.VOIDED:
+                self.blamed(1)
             if self.spoiled and not self.open:
                 self.close(self.spoiled)
 
@@ -441,17 +480,47 @@
         self.most, self.held_most, self.unread_most = most, held_most, unread_most
         self.held, self.unread = 0, 0
         self.connections: dict[Connection, None] = {}
+        self.strangers: dict[Connection, None] = {}  # the oldest first
 
     def buildProtocol(self, addr: object) -> Connection | Rejected:
-        return Connection(self) if len(self.connections) < self.most else Rejected(self.log)
+        return Connection(self) if self._room() else Rejected(self.log)
+
+    def _room(self) -> bool:
+        """Against a table full of connections that say nothing, or rest: a newcomer takes the place of one.
+        Those that say nothing never fill it, so that usual callers keep theirs."""
+        now, full = self.clock.seconds(), len(self.connections) >= self.most
+        if full or len(self.strangers) * STRANGERS >= self.most:
+            oldest = next(iter(self.strangers), None)
+            if oldest is not None and now - oldest.since >= SETTLE:
+                oldest.close("displaced", abort=True)
+                self.drop(oldest)
+                return True
+        if full:
+            resting = [each for each in self.connections if each.known and not each.open and not each.code]
+            if resting:
+                longest = min(resting, key=lambda each: each.heard)
+                if now - longest.heard >= SETTLE:
+                    longest.close("displaced")
+                    self.drop(longest)
+                    return True
+        return not full
+
+    def drop(self, connection: Connection) -> None:
+        self.connections.pop(connection, None)
+        self.strangers.pop(connection, None)
+
+    def knows(self, connection: Connection) -> None:
+        if not connection.known:
+            connection.known = True
+            self.strangers.pop(connection, None)
 
     def joined(self, connection: Connection) -> None:
-        self.connections[connection] = None
+        self.connections[connection] = self.strangers[connection] = None
         if self.service.leaving:
             connection.say_farewell()
 
     def left(self, connection: Connection, unanswered: int) -> None:
-        self.connections.pop(connection, None)
+        self.drop(connection)
         connection.clear_backlog()
         self.log.event("connection-end", connection.code, asked=connection.asked, unanswered=unanswered)
 
@@ -479,7 +548,9 @@
                 continue
             if connection.open:
                 continue
-            if connection.frames.begun and now - connection.half_since > WHOLE:
+            if now - connection.since > WHOLE and not connection.known:
+                connection.close("silent")
+            elif connection.frames.begun and now - connection.half_since > WHOLE:
                 connection.close("half-message")
             elif connection.farewell_at is not None:
                 if now - max(connection.farewell_at, connection.heard) > CLOSE_AFTER:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -103,7 +103,8 @@
                        kernel=f"{setup.kernel.host}:{setup.kernel.port}",
                        ledger=f"{setup.ledger.host}:{setup.ledger.port}",
                        node_list=f"{setup.node_list.host}:{setup.node_list.port}", stop_ms=setup.stop / 1_000,
-                       memory_mb=setup.memory_mb, sockets=setup.sockets, settings=dict(setup.plain))
+                       cores=setup.cores, memory_mb=setup.memory_mb, sockets=setup.sockets,
+                       settings=dict(setup.plain))
         self.guarded(lambda: self.listen(LISTEN_TRIES))
         self.guarded(lambda: self.reactor.listenUDP(
             0, self.node_list, interface="::" if ":" in setup.node_list.host else ""))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,16 @@
 from twisted.python.failure import Failure
 
 from limeridge.facade import End
-from limeridge.net.callers import HEAD_MOST, OPEN_MOST, UNREAD_MOST, Rejected
+from limeridge.net.callers import (
+    BLAME_MOST,
+    HEAD_MOST,
+    OPEN_MOST,
+    STRANGERS,
+    TURN,
+    UNREAD_MOST,
+    Rejected,
+    frame,
+)
 from limeridge.net.log import MOST, Log
 
 ROOT = Path(__file__).parent.parent / "limeridge"
@@ -224,11 +233,75 @@
 
 def test_half_a_message_does_not_hold_a_place_for_ever() -> None:
     net = booted()
-    caller = net.caller()
-    for _ in range(12):
-        caller.dataReceived(b"C" if not caller.frames.begun else b"o")
-        net.pass_time(1.0, 0.1)
-    assert caller.transport.disconnecting and caller.code == "half-message"
+    stranger, silent, usual = net.caller(), net.caller(), net.caller()
+    ref = net.ask(usual, 1)
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=30, arg="eA==")
+    for _ in range(6):
+        for caller in (stranger, usual):
+            caller.dataReceived(b"C" if not caller.frames.begun else b"o")
+        net.pass_time(0.5, 0.1)
+    assert all(caller.transport.disconnecting for caller in (stranger, silent, usual))
+    assert [caller.code for caller in (stranger, silent, usual)] == ["silent", "silent", "half-message"]
+
+
+def test_a_crowd_that_says_nothing_takes_no_usual_caller_s_place() -> None:
+    net = booted()
+    callers = net.instance.callers
+    usual = net.caller()
+    ref = net.ask(usual, 1, d=1e6)
+    for _ in range(callers.most):
+        net.caller()
+        net.pass_time(0.001, 0.001)
+    assert len(callers.strangers) <= callers.most // STRANGERS + 0.05 / 0.001
+    late = net.caller()
+    net.ask(late, 1)
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=30, arg="eA==")
+    assert net.answers(usual)[0]["result"] and not usual.transport.disconnecting
+    resting = [net.caller() for _ in range(callers.most)]
+    for caller in resting:
+        net.send(caller, jsonrpc="2.0", id=1, method="heartbeat")
+    net.pass_time(0.1)
+    net.caller()
+    assert len(callers.connections) <= callers.most and late in callers.connections
+
+
+def test_one_that_asks_for_what_can_t_be_served_again_and_again_is_done_with() -> None:
+    net = booted()
+    wrong = net.caller()
+    net.ask(wrong, 1)
+    net.commands()
+    for number in range(2, 40):
+        net.ask(wrong, number, "unheard-of")
+    net.pass_time(0.05)
+    assert len(net.answers(wrong)) == BLAME_MOST // 2 and not wrong.transport.disconnecting
+    net.pass_time(3.2)  # what was read before is answered, then it ends
+    assert wrong.transport.disconnecting and wrong.code == "nothing-served"
+    usual, wavering = net.caller(), net.caller()
+    for number in range(1, 100):
+        ref = net.ask(usual, 2 * number)
+        net.ask(usual, 2 * number + 1, "unheard-of")
+        net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=30, arg="eA==")
+        net.tell(event="REAP", cursor=None, handle=net.ask(wavering, number), fate="failed", lasted=30)
+        net.commands()
+        net.pass_time(0.01)
+        if wavering.transport.disconnecting:
+            break
+        assert (wavering.farewell_at is not None) == (number >= BLAME_MOST // 2)
+    assert usual.code == "" and number == BLAME_MOST
+
+
+def test_a_flood_on_one_connection_leaves_others_their_turn() -> None:
+    net = booted()
+    flood = net.caller()
+    one = frame(orjson.dumps({"jsonrpc": "2.0", "id": 1, "method": "heartbeat"}))
+    flood.dataReceived(one * 100)
+    assert len(net.answers(flood)) == TURN and flood.transport.producerState == "paused"
+    net.pass_time(0.1)
+    assert len(net.answers(flood)) == 100 - TURN and flood.transport.producerState == "producing"
+    for number in range(1, 200):
+        net.ask(flood, number)
+        net.send(flood, jsonrpc="2.0", method="revoke", params={"id": number})
+    assert flood.transport.disconnecting and flood.code == "taken-back"
 
 
 @pytest.mark.parametrize("params", [{"id": 1}, {"i": "REF"}])
