--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -14,38 +14,52 @@
 
 
 class Calls:
-    """Calls in hand and those of a window past. One left behind stays in hand while it may linger."""
+    """Calls in hand and those of a window past. One left behind stays in hand while it may linger.
+
+    Whatever is asked with each txn must not cost more the more calls a window sees: what came to an end and
+    what was left behind are kept apart, each in the order of its end, and only the ends are looked at.
+    """
 
     def __init__(self, window: int, linger: int) -> None:
         self.window, self.linger = window, linger
         self.out: dict[int, tuple[int, int]] = {}  # begin and time-out
-        self.over: deque[tuple[int, int]] = deque()  # begin and end, by when they were left
+        self.over: deque[tuple[int, int]] = deque()  # begin and end
+        self.left: deque[tuple[int, int]] = deque()  # the same, with the longest time that it may linger
 
     def begin(self, ref: int, now: int, time_out: int) -> None:
         self.out[ref] = now, now + time_out
 
     def end(self, ref: int, now: int, left_behind: bool) -> None:
         if ref in self.out:
-            self.over.append((self.out.pop(ref)[0], now + self.linger * left_behind))
-            while self.over and self.over[0][1] <= now - self.window:
-                self.over.popleft()
+            begin = self.out.pop(ref)[0]
+            (self.left if left_behind else self.over).append((begin, now + self.linger * left_behind))
+            self._trim(now)
 
-    def in_hand(self, now: int) -> int:
+    def _trim(self, now: int) -> None:
+        for past in (self.over, self.left):
+            while past and past[0][1] <= now - self.window:
+                past.popleft()
+
+    def _lingering(self, now: int) -> int:
         held = 0
-        for _, end in reversed(self.over):
-            if end <= now - self.linger:  # none before it can linger still
+        for _, end in reversed(self.left):
+            if end <= now:
                 break
-            held += end > now
-        return len(self.out) + held
+            held += 1
+        return held
+
+    def in_hand(self, now: int) -> int:
+        return len(self.out) + self._lingering(now)
 
     def through(self, now: int) -> int:
         """How many came to their end within the window."""
-        return sum(now - self.window < end <= now for _, end in self.over)
+        self._trim(now)
+        return len(self.over) + len(self.left) - self._lingering(now)
 
     def time_taken(self, now: int) -> int:
         """Time in hand within the window, if each call that is out runs to its time-out and lingers."""
         start = now - self.window
-        spans = [*self.over, *((begin, end + self.linger) for begin, end in self.out.values())]
+        spans = [*self.over, *self.left, *((begin, end + self.linger) for begin, end in self.out.values())]
         return sum(end - max(begin, start) for begin, end in spans if end > start)
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,7 @@
 """Seeded random runs: the four rules hold after every step, under settings of every kind."""
 
 import random
+from collections import deque
 from typing import Any
 
 import pytest
@@ -10,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from limeridge.interface import Outcome, Stage
+from limeridge.records import Calls
 
 OTHERS = [
     {"products__0__kind": "referenced", "products__0__window": 6_000_000},
@@ -227,3 +229,28 @@
         return [f"{d.verb}{d.txn.ref if d.txn else ''}{d.us}{d.level}" for d in host.seen]
 
     assert run() == run()
+
+
+class Unwalked(deque[tuple[int, int]]):
+    """Fails whoever looks at all that a window holds."""
+
+    def __iter__(self) -> Any:
+        raise AssertionError("walked")
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(seed=st.integers(0, 10**6))
+def test_calls_of_a_window_are_counted_right_and_without_a_walk(seed: int) -> None:
+    chance, calls, now = random.Random(seed), Calls(1_000, 100), 0
+    calls.over = Unwalked()
+    ended: list[int] = []
+    for ref in range(200):
+        now += chance.randrange(30)
+        calls.begin(ref, now, 500)
+        if ref % 3 and (out := list(calls.out)):
+            left = chance.random() < 0.3
+            calls.end(chance.choice(out), now, left)
+            ended.append(now + 100 * left)
+        assert calls.through(now) == sum(now - 1_000 < end <= now for end in ended)
+        assert calls.in_hand(now) == len(calls.out) + sum(end > now for end in ended)
+    assert len(calls.over) + len(calls.left) < 150
