--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -272,10 +272,9 @@
     # ---- decisions
 
     def decide(self) -> Decision | None:
-        if self.stream is None:
-            self.stream = self._decisions()
-        decision = next(self.stream, None)
-        self.stream = None if decision is None else self.stream
+        stream, self.stream = self.stream or self._decisions(), None  # against one that broke and says no more
+        if (decision := next(stream, None)) is not None:
+            self.stream = stream
         return decision
 
     def _decisions(self) -> Iterator[Decision]:
@@ -438,7 +437,6 @@
                 self.parked.append(txn)
 
     def _run_held(self) -> Iterator[Decision]:
-        strained = self.strained()
         limit = CROWD_SHARE * self._crowd()
         self.cap_binds = False
         while self.books.in_runs() + 1 <= limit:
@@ -446,7 +444,7 @@
             self.cap_binds = bool(ranked) and self.books.on_cores() >= int(self.cap)
             if not ranked or self.cap_binds:
                 return
-            line = max(ranked)[2]
+            strained, line = self.strained(), max(ranked)[2]
             txn = line.popleft()
             if txn.stage != Stage.HELD:
                 continue
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -165,7 +165,8 @@
         self.results_size = 0
         self.timer: Any = None
         self.pulling = False
-        self.touched: list[Entry] = []
+        self.soon: Any = None  # the timer of the next asking
+        self.touched: deque[Entry] = deque()
         self.ready_joins: list[Entry] = []
         self.brain = Brain(self.plain, seed, self.now())
         self._pull()
@@ -237,7 +238,7 @@
             entry.answered = True
             self._tell(self.brain.caller_gone, entry.txn)
             self.touched.append(entry)
-            self._pull()
+            self._pull_soon()
 
     def give_up(self, intake: Intake, why: str) -> Step:
         """A defect was met: the txn is answered as voided, whatever else is known of it. WAIT where its run
@@ -290,14 +291,24 @@
         waiting: Deferred[Step] = Deferred()
         entry.pending = waiting
         self.touched.append(entry)
-        self._pull()
+        self._pull_soon()
         return waiting
 
+    def _pull_soon(self) -> None:
+        """Once for all that is read in one turn of the loop: an asking looks at all lines and calls, and one
+        for each event would cost the more the more traffic there is."""
+        if self.soon is None:
+            self.soon = self.clock.callLater(0, self._pull)
+
     def _pull(self) -> None:
         """Asks the brain until it has no more to say, then lets handlers go on: none may call into the
         brain while it is being asked."""
         if self.pulling:
             return
+        if self.soon is not None:
+            if self.soon.active():
+                self.soon.cancel()
+            self.soon = None
         self.pulling = True
         try:
             while True:
@@ -312,7 +323,7 @@
         finally:
             self.pulling = False
         while self.touched:
-            self._hand_over(self.touched.pop())
+            self._hand_over(self.touched.popleft())
 
     def _hand_over(self, entry: Entry) -> None:
         """Fires what a handler waits for, if its txn has come that far."""
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -39,6 +39,7 @@
 LAST_CALL = 0.08  # seconds before the kill at which the process ends, whatever is still open
 QUIET = 0.15  # seconds without a connection or an open txn after which a drained instance ends
 READ_AGAIN, READ_TRIES = 0.5, 6  # seconds, times, that a configuration which can't be used is read again
+GARBAGE = 10_000  # objects made and not freed between two collections
 BETWEEN = 0.05  # seconds between two looks at the drain
 
 
@@ -329,6 +330,7 @@
     most = setup.sockets if hard == resource.RLIM_INFINITY else min(hard, setup.sockets)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
     gc.collect()
+    gc.set_threshold(GARBAGE)  # against a look for cycles every few txns; few are made
     gc.freeze()  # what stands now stays; a collection need not look at it again
     reactor.callWhenRunning(instance.start)
     reactor.run(installSignalHandlers=False)
--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -17,49 +17,44 @@
     """Calls in hand and those of a window past. One left behind stays in hand while it may linger.
 
     Whatever is asked with each txn must not cost more the more calls a window sees: what came to an end and
-    what was left behind are kept apart, each in the order of its end, and only the ends are looked at.
+    what still lingers are kept apart, each in the order of its end, and only the ends are looked at.
     """
 
     def __init__(self, window: int, linger: int) -> None:
         self.window, self.linger = window, linger
         self.out: dict[int, tuple[int, int]] = {}  # begin and time-out
         self.over: deque[tuple[int, int]] = deque()  # begin and end
-        self.left: deque[tuple[int, int]] = deque()  # the same, with the longest time that it may linger
+        self.lingering: deque[tuple[int, int]] = deque()  # the same, with the end to come
 
     def begin(self, ref: int, now: int, time_out: int) -> None:
         self.out[ref] = now, now + time_out
 
     def end(self, ref: int, now: int, left_behind: bool) -> None:
         if ref in self.out:
+            self._pass(now)
             begin = self.out.pop(ref)[0]
-            (self.left if left_behind else self.over).append((begin, now + self.linger * left_behind))
-            self._trim(now)
-
-    def _trim(self, now: int) -> None:
-        for past in (self.over, self.left):
-            while past and past[0][1] <= now - self.window:
-                past.popleft()
-
-    def _lingering(self, now: int) -> int:
-        held = 0
-        for _, end in reversed(self.left):
-            if end <= now:
-                break
-            held += 1
-        return held
+            (self.lingering if left_behind else self.over).append((begin, now + self.linger * left_behind))
+
+    def _pass(self, now: int) -> None:
+        while self.lingering and self.lingering[0][1] <= now:
+            self.over.append(self.lingering.popleft())
+        while self.over and self.over[0][1] <= now - self.window:
+            self.over.popleft()
 
     def in_hand(self, now: int) -> int:
-        return len(self.out) + self._lingering(now)
+        self._pass(now)
+        return len(self.out) + len(self.lingering)
 
     def through(self, now: int) -> int:
         """How many came to their end within the window."""
-        self._trim(now)
-        return len(self.over) + len(self.left) - self._lingering(now)
+        self._pass(now)
+        return len(self.over)
 
     def time_taken(self, now: int) -> int:
         """Time in hand within the window, if each call that is out runs to its time-out and lingers."""
         start = now - self.window
-        spans = [*self.over, *self.left, *((begin, end + self.linger) for begin, end in self.out.values())]
+        out = ((begin, end + self.linger) for begin, end in self.out.values())
+        spans = [*self.over, *self.lingering, *out]
         return sum(end - max(begin, start) for begin, end in spans if end > start)
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -418,6 +418,7 @@
 
     def connect(self, host: str) -> Any:
         """The far end takes the newest connection that was opened to it."""
+        self.reactor.advance(0)
         at = max(i for i, client in enumerate(self.reactor.tcpClients) if client[0] == host)
         protocol = self.reactor.tcpClients.pop(at)[2].buildProtocol(None)
         protocol.makeConnection(Wire())
@@ -441,6 +442,7 @@
 
     def commands(self) -> list[dict[str, Any]]:
         """What the kernel was told, the gauges answered."""
+        self.reactor.advance(0)
         heard = [orjson.loads(line) for line in self.link.transport.sent().splitlines()]
         for command in heard:
             if command["event"] == "SYSINFO" and command["ticket"] != "fence":
@@ -463,6 +465,7 @@
         caller.dataReceived(frame(orjson.dumps(message)))
 
     def answers(self, caller: Any) -> list[dict[str, Any]]:
+        self.reactor.advance(0)
         return [orjson.loads(body) for body in Frames().feed(caller.transport.sent())]
 
     def lose(self, protocol: Any, clean: bool = True) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,6 +22,7 @@
     STRANGERS,
     TURN,
     UNREAD_MOST,
+    Frames,
     Rejected,
     frame,
 )
@@ -91,7 +92,7 @@
         net.commands()
         net.tell(event="IOREQ", cursor=None, handle=ref, arg="Y2FsbA==")
         tries = 0
-        while any(c[0] == "127.0.1.2" for c in net.reactor.tcpClients):
+        while net.reactor.advance(0) or any(c[0] == "127.0.1.2" for c in net.reactor.tcpClients):
             line, tries = net.connect("127.0.1.2"), tries + 1
             assert line.transport.sent().startswith(b"POST")
             line.dataReceived(b"\x16\x03noise" if tries == 1 else b"HTTP/1.1 200 OK\r\n" + b"a" * 9_000)
@@ -184,6 +185,7 @@
     if how == "refused":
         caller, _ref = net.caller(), ""
         net.tell(event="IOREQ", cursor=None, handle=net.ask(caller, 1), arg="")
+        net.reactor.advance(0)
         factory = net.reactor.tcpClients.pop()[2]
         factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
     else:
@@ -226,6 +228,7 @@
     caller = net.caller()
     ref = net.ask(caller, 1, "book", k="a")
     net.tell(event="IOREQ", cursor=None, handle=ref, arg="")
+    net.reactor.advance(0)
     net.reactor.tcpClients.pop()[2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
     net.tell(event="REAP", cursor=None, handle=ref, fate="failed", lasted=5)
     assert error(net.answers(caller))["message"] == "run failed" and not net.instance.jobs
@@ -295,7 +298,8 @@
     flood = net.caller()
     one = frame(orjson.dumps({"jsonrpc": "2.0", "id": 1, "method": "heartbeat"}))
     flood.dataReceived(one * 100)
-    assert len(net.answers(flood)) == TURN and flood.transport.producerState == "paused"
+    assert len(list(Frames().feed(flood.transport.sent()))) == TURN
+    assert flood.transport.producerState == "paused"
     net.pass_time(0.1)
     assert len(net.answers(flood)) == 100 - TURN and flood.transport.producerState == "producing"
     for number in range(1, 200):
@@ -310,6 +314,7 @@
     caller, ref, line = at_call(net)
     net.send(caller, jsonrpc="2.0", method="revoke", params=params if "id" in params else {"i": ref})
     net.tell(event="REAP", cursor=None, handle=ref, fate="halted", lasted=5)
+    net.reactor.advance(0)
     assert line.transport.disconnected and net.answers(caller) == [] and not net.instance.jobs
 
 
@@ -419,6 +424,7 @@
     assert net.log.codes("txn-fault") == ["exception"]
     net.instance.kernel.start = start  # type: ignore[method-assign]
     net.tell(event="REAP", cursor=None, handle=ref, fate="void")  # nothing is left of it
+    net.reactor.advance(0)
     assert not net.instance.facade.open
     ref = net.ask(caller, 2)
     net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="eA==")
@@ -429,9 +435,11 @@
     net = booted()
     caller, other = net.caller(), net.caller()
     net.ask(caller, 1)
+    net.reactor.advance(0)
     brain = net.instance.facade.brain
     broken, brain._run_held = brain._run_held, lambda: iter([1 / 0])  # type: ignore[assignment, method-assign]
     net.ask(other, 1)
+    net.reactor.advance(0)
     brain.caller_gone = lambda *_: 1 / 0  # type: ignore[assignment, method-assign]
     net.lose(caller)
     assert net.log.codes("brain-fault") and not net.answers(other)
@@ -440,6 +448,17 @@
     assert [c["event"] for c in net.commands()] == ["SCHED", "SCHED"]
 
 
+def test_what_a_defect_kept_from_being_decided_is_decided_soon_with_no_other_event() -> None:
+    net = booted()
+    brain = net.instance.facade.brain
+    broken, brain._run_held = brain._run_held, lambda: iter([1 / 0])  # type: ignore[assignment, method-assign]
+    net.ask(net.caller(), 1)
+    assert net.commands() == [] and net.log.codes("brain-fault")
+    brain._run_held = broken  # type: ignore[method-assign]
+    net.pass_time(0.1)
+    assert [c["event"] for c in net.commands()] == ["SCHED"]
+
+
 def test_a_repeat_gets_the_kept_result_of_the_one_run() -> None:
     net = booted()
     caller = net.caller()
@@ -668,3 +687,14 @@
         config.write(b"{}")
     _, told = child.communicate(timeout=20)
     assert child.returncode == 2 and b"seed" in told
+
+
+def test_the_brain_is_asked_once_for_all_that_a_turn_of_the_loop_reads() -> None:
+    net = booted(settings=ROOMY)
+    brain, passes = net.instance.facade.brain, []
+    decisions = brain._decisions
+    brain._decisions = lambda: (passes.append(1), decisions())[1]  # type: ignore[method-assign]
+    callers = [net.caller() for _ in range(20)]
+    for number, caller in enumerate(callers, 1):
+        net.ask(caller, number)
+    assert [c["event"] for c in net.commands()] == ["SCHED", "SCHED"] and 0 < len(passes) <= 3
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -253,4 +253,4 @@
             ended.append(now + 100 * left)
         assert calls.through(now) == sum(now - 1_000 < end <= now for end in ended)
         assert calls.in_hand(now) == len(calls.out) + sum(end > now for end in ended)
-    assert len(calls.over) + len(calls.left) < 150
+    assert len(calls.over) + len(calls.lingering) < 150
