Give up a call never answered while time is left for another; keep the bound of calls

At fault, brain: call_ended shrank the bound by 15% for each of them, and each held its place for the whole SLA time and lingered; _feed_calls spared room for 2 s after a failed call, as if it had waited for room. Change: a first call of an inquiry-like txn is given up after three times what nine in ten took (the hold target at the least) and made once more; one without an answer while most are quick shrinks no bound; only a call that waited has room spared. With a share under one call nothing changes. Might hurt: the first calls of a spell of slowness are made twice. Also: no timer and no option call for a ledger connection.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -44,6 +44,7 @@
 CALL_SLOW = 4  # times what half the calls took when they were quickest: slower ones are slow
 CALL_STEP = 0.05
 CALL_SLACK = 2  # least time-out of a call, of what nine in ten took
+CALL_LOST = 3  # times what nine in ten took: one without an answer by then is taken for lost
 CALL_MOST = 0.5  # of the room in the window that one call may wait for
 STOP_MARGIN = 200_000  # before the process is killed
 ADVICE = (0.1, 0.7)  # of the longest time to come back after
@@ -59,6 +60,7 @@
 CALLERS_KEPT = 512
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
 INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
+NO_ANSWER = (Outcome.TIMEOUT, Outcome.RESET)
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
@@ -116,6 +118,9 @@
     def hold(self, txn: Txn) -> None:
         self.lines[2 if txn.over_share else txn.resent].append(txn)
 
+    def calls_quick(self) -> bool:
+        return self.call_times.quantile(0.75) <= TARGET
+
     def work(self) -> float:
         return max(0.02, self.core_times.quantile(0.5)) * self.sla_time / 1e6
 
@@ -127,13 +132,11 @@
         approach = self.ladder[txn.approach]
         approach.costs.append(elapsed)
         if approach.cost > self.time_limit:
-            if txn.approach < len(self.ladder) - 1:
-                approach.active = False
+            approach.active = approach.active and txn.approach == len(self.ladder) - 1
         elif approach.cost < REACTIVATION * self.time_limit:
-            heavier = [a for a in self.ladder[: txn.approach] if not a.active]
-            if heavier:
-                heavier[-1].active = True
-                heavier[-1].costs.clear()
+            for heavier in [a for a in self.ladder[: txn.approach] if not a.active][-1:]:
+                heavier.active = True
+                heavier.costs.clear()
 
 
 class Brain:
@@ -157,9 +160,8 @@
         self.leave_at: int | None = None
         self.stop_at: int | None = None
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
-        self.said = -1.0
         self.speak_at, self.turned_away, self.read, self.unread, self.behind = now, 0, 0, 0.0, 0
-        self.healthy, self.tries, self.later = False, 0.0, 0.0
+        self.healthy, self.said, self.tries, self.later = False, -1.0, 0.0, 0.0
         calls_share = float(settings.get("instance.calls_out", 0.5))
         # A bound that no call can live under would never see one, and so never grow.
         self.call_most, least = CALL_SHARE * calls_share, 2.5 * self.calls.linger / self.calls.window
@@ -237,11 +239,12 @@
         kind.call_times.add(spent / kind.sla_time)
         kind.quick = min(kind.quick, kind.call_times.quantile(0.5) * kind.sla_time)
         # It grows only while it binds: what is never used would let a crowd in before its slowness shows.
-        # What is slow goes by the ledger as it was quickest: a call may take the hold target and be usual. A
-        # connection that broke soon tells of the way to the ledger, not of its load.
-        if outcome not in (Outcome.OK, Outcome.RESET) or spent > max(kind.target, CALL_SLOW * kind.quick):
+        # What is slow goes by the ledger as it was quickest: a call may take the hold target and be usual.
+        # One that broke, or got no answer while others do, tells of the way to the ledger, not of its load.
+        slow = spent > max(kind.target, CALL_SLOW * kind.quick) and not kind.calls_quick()
+        if slow or outcome not in (Outcome.OK, *NO_ANSWER):
             self.call_cap = max(self.call_floor, self.call_cap * 0.85)
-        elif self.calls_bound:
+        elif self.calls_bound and outcome == Outcome.OK:
             self.call_cap = min(self.call_most, self.call_cap + CALL_STEP * max(1.0, self.call_floor))
             self.calls_bound = False
         if outcome == Outcome.OK:
@@ -272,7 +275,7 @@
     # ---- decisions
 
     def decide(self) -> Decision | None:
-        stream, self.stream = self.stream or self._decisions(), None  # against one that broke and says no more
+        stream, self.stream = self.stream or self._decisions(), None  # against one that broke and ended
         if (decision := next(stream, None)) is not None:
             self.stream = stream
         return decision
@@ -406,17 +409,17 @@
             if txn.stage != Stage.PARKED or txn.answered:
                 continue
             # A run that meets trouble below mid-way leaves the call out too, against piling up there.
-            # One that broke on the way, with time left, is made once more: leaving it out would cost value.
-            again = (txn.failed_as == Outcome.RESET and txn.may_repeat_call and txn.calls_made < 2
-                     and txn.sla_due - self.now > kind.target)
-            stuck = (txn.failed_as is not None and not again) or self.now - txn.since > kind.target
-            # Room is spared for a call that would lose more and lately waited: few txns are here at once.
-            loss = self._loss(txn)
-            spared = loss < self.short and self.now - self.short_at < CALL_STALE
+            # Lost on the way, with time left: once more. (With a share under one call a time-out is a cut.)
+            again = (txn.failed_as in NO_ANSWER[self.call_most < 1 :] and txn.may_repeat_call
+                     and txn.calls_made < 2 and txn.sla_due - self.now > kind.target and kind.calls_quick())
+            waited = self.now - txn.since > kind.target
+            stuck = (txn.failed_as is not None and not again) or waited
+            # Room is spared for a call that would lose more and lately waited: few txns are here.
+            spared = (loss := self._loss(txn)) < self.short and self.now - self.short_at < CALL_STALE
             time_out = 0 if spared else self._call_room(txn)
             if not (time_out or spared):
                 self.calls_bound = True
-                if stuck:
+                if waited:  # not for one that failed: that tells of no lack of room
                     self.short, self.short_at = loss, self.now
             if kind.skip_value > 0 and (txn.left_out < txn.approach or stuck or spared
                                         or (txn.left_out and not time_out)):
@@ -437,8 +440,7 @@
                 self.parked.append(txn)
 
     def _run_held(self) -> Iterator[Decision]:
-        limit = CROWD_SHARE * self._crowd()
-        self.cap_binds = False
+        limit, self.cap_binds = CROWD_SHARE * self._crowd(), False
         while self.books.in_runs() + 1 <= limit:
             ranked = self._ranked(running=True)
             self.cap_binds = bool(ranked) and self.books.on_cores() >= int(self.cap)
@@ -462,12 +464,11 @@
         self.speak_at = self.now + SPEAK
         how = self.settings.get("instance.say", "none")
         top = 4.0 if how == "allowance" else 1.0
-        waiting = any(line for kind in self.products for line in kind.lines)
         if self.turned_away:
             self.welcome *= 1 - 0.5 * min(1.0, self.turned_away / (self.read + 1))
         elif self.unread > TARGET:
             self.welcome *= 0.9  # against a line at the door, which no decline shows
-        elif not waiting:
+        elif not any(line for kind in self.products for line in kind.lines):
             self.welcome = min(top, self.welcome * (1.5 if self.busy < FULL_CORES else 1.1))
         self.welcome = max(WELCOME_FLOOR, self.welcome)
         # Against a line at the door never caught up: all it holds is late; bad health and a value of 0 lose
@@ -529,15 +530,17 @@
 
     def _call_room(self, txn: Txn) -> int:
         """Rule 4 below: the own share of calls, lingering ones included. 0 = no room, else a time-out."""
-        time_out = max(TICK, min(txn.sla_due, txn.due) - self.now)
+        time_out, kind = max(TICK, min(txn.sla_due, txn.due) - self.now), self.products[txn.product]
         if self.call_most >= 1:
+            if txn.calls_made == 0 and kind.kind == INQUIRY:  # against no answer ever: leave time for another
+                lost = max(TARGET, CALL_LOST * kind.call_times.quantile(0.9)) * kind.sla_time
+                time_out = min(time_out, int(lost))
             return time_out if self.calls.in_hand(self.now) + 1 <= self.call_cap else 0
         # A share under one call: the mean over the window must still hold if every call runs to its time-out.
         room = int(self.call_cap * self.calls.window)
         spare = room - self.calls.time_taken(self.now) - self.calls.linger
         # Against calls cut off before a slow answer can come, which cost room and linger for nothing: what
         # was cut off counts as a call of that length, so the least time-out doubles until answers come.
-        kind = self.products[txn.product]
         least = max(TICK, int(CALL_SLACK * kind.call_times.quantile(0.9) * kind.sla_time))
         fits = spare >= min(time_out, least, CALL_MOST * room)
         return min(time_out, max(min(spare, least), spare // 2)) if fits else 0  # half is left for the next
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -190,7 +190,6 @@
         if self.code:
             line.transport.abortConnection()
             return
-        line.transport.setTcpNoDelay(True)
         self.sent = True
         call = self.call
         line.transport.write(encode(self.ledger.host, call.ref, call.wait, call.body))
@@ -242,7 +241,8 @@
                 continue
             self.connections += 1
             call.way = Way(self, call)
-            call.way.connector = self.reactor.connectTCP(self.host, self.port, call.way, timeout=5)
+            # Without a time-out of its own: the call has one, and a timer more would cost each call.
+            call.way.connector = self.reactor.connectTCP(self.host, self.port, call.way, timeout=None)
 
     def ended(self, way: Way, code: str) -> None:
         self.connections -= 1
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -16,7 +16,7 @@
 from functools import partial
 from typing import Any
 
-from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 from twisted.logger import globalLogBeginner
@@ -57,8 +57,7 @@
         self.blocked: Blocked | None = None
 
     def next(self) -> Deferred[News]:
-        if self.news:
-            return succeed(self.news.popleft())
+        """To be asked for only where no news stand by."""
         self.waiting = Deferred()
         return self.waiting
 
@@ -185,7 +184,7 @@
     async def next_step(self, job: Job, step: Step | None) -> Step:
         if step is None:
             return await self.facade.pick(job.intake)
-        news = await job.next()
+        news = job.news.popleft() if job.news else await job.next()
         if isinstance(news, Called) and news.end is End.OK:
             self.kernel.reply(job.intake.ref, news.body)
         elif isinstance(news, Blocked):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -67,7 +67,7 @@
     [answer] = net.answers(caller)
     assert (answer["id"], answer["result"]["doc"]) == (1, "ZG9uZQ==") and answer["result"]["v"] >= 0
     assert not net.instance.jobs and not net.instance.facade.open and net.instance.callers.held == 0
-    assert caller.transport.no_delay and line.transport.no_delay and net.link.transport.no_delay
+    assert caller.transport.no_delay and net.link.transport.no_delay
 
 
 @pytest.mark.parametrize(("before", "behind"), [
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -419,3 +419,24 @@
     host.finish(first)
     cheap = host.take()
     assert verbs(host.block(cheap), cheap) == [Verb.SKIP]
+
+
+def test_a_call_that_is_never_answered_is_made_once_more_and_shrinks_no_bound() -> None:
+    host = Host(instance__calls_out=40.0, instance__skip_values=[0.6])
+    for _ in range(20):
+        txn = host.take()
+        host.block(txn)
+        host.pass_time(10_000)
+        host.call_ends(txn, Outcome.OK)
+        host.finish(txn)
+        host.pull()
+    bound = host.brain.call_cap
+    txn = host.take()
+    [call] = [d for d in host.block(txn) if d.verb == Verb.CALL]
+    assert call.us <= 300_000  # of a second: time is left
+    host.seen.clear()
+    host.pass_time(300_000)
+    assert [d.verb for d in host.seen if d.txn is txn] == [Verb.CALL] and host.brain.call_cap == bound
+    host.seen.clear()
+    host.pass_time(800_000)
+    assert next(d.verb for d in host.seen if d.txn is txn) == Verb.SKIP
