--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -119,7 +119,7 @@
         self.lines[2 if txn.over_share else txn.resent].append(txn)
 
     def calls_quick(self) -> bool:
-        return self.call_times.quantile(0.75) <= TARGET
+        return self.call_times.quantile(0.9) <= TARGET
 
     def work(self) -> float:
         return max(0.02, self.core_times.quantile(0.5)) * self.sla_time / 1e6
@@ -165,8 +165,7 @@
         calls_share = float(settings.get("instance.calls_out", 0.5))
         # A bound that no call can live under would never see one, and so never grow.
         self.call_most, least = CALL_SHARE * calls_share, 2.5 * self.calls.linger / self.calls.window
-        least = 1.0 if self.call_most >= 1 else least
-        self.call_floor = min(self.call_most, max(CALL_FLOOR * calls_share, least))
+        self.call_floor = min(self.call_most, max(CALL_FLOOR * calls_share, least if self.call_most < 1 else 1.0))
         self.call_cap, self.calls_bound = self.call_floor, False
         self.short, self.short_at = 0.0, now - CALL_STALE  # the loss of a call that lately found no room
         self.stream: Iterator[Decision] | None = None
@@ -241,7 +240,8 @@
         # It grows only while it binds: what is never used would let a crowd in before its slowness shows.
         # What is slow goes by the ledger as it was quickest: a call may take the hold target and be usual.
         # One that broke, or got no answer while others do, tells of the way to the ledger, not of its load.
-        slow = spent > max(kind.target, CALL_SLOW * kind.quick) and not kind.calls_quick()
+        lost = outcome == Outcome.TIMEOUT and kind.calls_quick()
+        slow = not lost and spent > max(kind.target, CALL_SLOW * kind.quick)
         if slow or outcome not in (Outcome.OK, *NO_ANSWER):
             self.call_cap = max(self.call_floor, self.call_cap * 0.85)
         elif self.calls_bound and outcome == Outcome.OK:
