--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -165,7 +165,8 @@
         calls_share = float(settings.get("instance.calls_out", 0.5))
         # A bound that no call can live under would never see one, and so never grow.
         self.call_most, least = CALL_SHARE * calls_share, 2.5 * self.calls.linger / self.calls.window
-        self.call_floor = min(self.call_most, max(CALL_FLOOR * calls_share, least if self.call_most < 1 else 1.0))
+        least = 1.0 if self.call_most >= 1 else least
+        self.call_floor = min(self.call_most, max(CALL_FLOOR * calls_share, least))
         self.call_cap, self.calls_bound = self.call_floor, False
         self.short, self.short_at = 0.0, now - CALL_STALE  # the loss of a call that lately found no room
         self.stream: Iterator[Decision] | None = None
@@ -220,8 +221,7 @@
                 kind.answer_ages.add((now - txn.arrived) / kind.sla_time)
         if outcome == Outcome.OK:
             txn.settled = True
-            if not txn.answered and now <= txn.sla_due:
-                kind.settled += 1
+            kind.settled += not txn.answered and now <= txn.sla_due
         self._over(txn)
 
     def needs_call(self, now: int, txn: Txn) -> None:
@@ -267,10 +267,8 @@
         self.stop_at = now + budget
 
     def woke(self, now: int, ref: int, gauges: Mapping[str, float]) -> None:
-        self.now, self.wake_at = now, None
-        self.busy = gauges.get("busy", self.busy)
-        self.runnable = gauges.get("runnable", self.runnable)
-        self.gauge_new = True
+        self.now, self.wake_at, self.gauge_new = now, None, True
+        self.busy, self.runnable = gauges.get("busy", self.busy), gauges.get("runnable", self.runnable)
 
     # ---- decisions
 
@@ -317,8 +315,7 @@
             return
         txn.answered = True
         # What came here past its SLA time says nothing of the load here, and no other can help it.
-        old = txn.sla_due <= txn.read
-        self.turned_away += not old
+        self.turned_away += txn.sla_due > txn.read
         # Rule 2: what has run, or joined what has, may have taken effect; never say that it never ran.
         if kind.kind != INQUIRY and (txn.ran or txn.stage == Stage.JOINED or self._prior_ran(txn)):
             yield Decision(Verb.VOID, txn)
@@ -413,7 +410,7 @@
             again = (txn.failed_as in NO_ANSWER[self.call_most < 1 :] and txn.may_repeat_call
                      and txn.calls_made < 2 and txn.sla_due - self.now > kind.target and kind.calls_quick())
             waited = self.now - txn.since > kind.target
-            stuck = (txn.failed_as is not None and not again) or waited
+            stuck = waited or (txn.failed_as is not None and not again)
             # Room is spared for a call that would lose more and lately waited: few txns are here.
             spared = (loss := self._loss(txn)) < self.short and self.now - self.short_at < CALL_STALE
             time_out = 0 if spared else self._call_room(txn)
@@ -477,7 +474,10 @@
         self.stuck = self.behind >= self.cores
         self.turned_away, self.read, self.unread = 0, 0, 0.0
         yield from self._limit_idle()
-        level = 0.0 if self.leave_at is not None or self.stuck else self.welcome
+        # Callers hear of a successor late, and it is cold: for half of the grace they may come as before.
+        stay = self.settings.get("rules.drain_grace", 0) // 2
+        parting = self.leave_at is not None and self.now >= self.leave_at + stay
+        level = 0.0 if parting or self.stuck else self.welcome
         if how == "allowance":
             level *= ALLOWED * self.cores / max(1, self.settings.get("instance.callers", 1))
         elif how == "floor":
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -269,7 +269,7 @@
 class Service(Protocol):
     """What the callers' side asks of whoever wires it up."""
 
-    leaving: bool
+    shut: bool  # draining, and nothing new is taken any more
 
     def serve(self, intake: Intake) -> None: ...
     def gone(self, intake: Intake) -> None: ...
@@ -516,7 +516,7 @@
 
     def joined(self, connection: Connection) -> None:
         self.connections[connection] = self.strangers[connection] = None
-        if self.service.leaving:
+        if self.service.shut:
             connection.say_farewell()
 
     def left(self, connection: Connection, unanswered: int) -> None:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -40,6 +40,7 @@
 QUIET = 0.15  # seconds without a connection or an open txn after which a drained instance ends
 READ_AGAIN, READ_TRIES = 0.5, 6  # seconds, times, that a configuration which can't be used is read again
 GARBAGE = 10_000  # objects made and not freed between two collections
+STAY = 0.9  # of the grace, that a draining instance goes on taking txns
 BETWEEN = 0.05  # seconds between two looks at the drain
 
 
@@ -78,7 +79,7 @@
         self.setup, self.reactor, self.log, self.reread = setup, reactor, log, reread
         self.reading: Any = None  # the timer of another look at a configuration that could not be used
         plain = setup.plain
-        self.leaving = False
+        self.leaving, self.shut = False, False
         self.kill_at = 0.0
         self.quiet_since: float | None = None
         self.jobs: dict[str, Job] = {}
@@ -287,15 +288,23 @@
         self.log.event("drain", "begun", owed=self.facade.owed(), connections=len(self.callers.connections))
         self.guarded(lambda: self.node_list.report(False))
         self.guarded(lambda: self.facade.leave(self.setup.stop))
+        # Against callers that hear of it late, while a successor is cold or not listed yet: what comes within
+        # the grace may still run, so the door stays open for most of it.
+        grace: Any = self.setup.plain.get("rules.drain_grace", 0)
+        stay = min(STAY * grace, self.setup.stop / 2)
+        self.reactor.callLater(stay / 1_000_000, self.guarded, self.shut_door)
+        self.repeat(self.drained, BETWEEN)
+
+    def shut_door(self) -> None:
+        self.shut = True
         self.guarded(self.callers.farewell)
         if self.port is not None:
             self.guarded(lambda: close_listener(self.port, self.callers))
-        self.repeat(self.drained, BETWEEN)
 
     def drained(self) -> None:
         """Ends when nobody is connected and nothing is open, or just before the kill."""
         now = self.reactor.seconds()
-        busy = self.jobs or self.callers.connections
+        busy = self.jobs or self.callers.connections or not self.shut
         self.quiet_since = None if busy else self.quiet_since if self.quiet_since is not None else now
         quiet = self.quiet_since is not None and now - self.quiet_since >= QUIET
         if quiet or now >= self.kill_at - LAST_CALL:
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -440,3 +440,14 @@
     host.seen.clear()
     host.pass_time(800_000)
     assert next(d.verb for d in host.seen if d.txn is txn) == Verb.SKIP
+
+
+def test_the_value_goes_to_nothing_once_half_of_the_grace_is_over() -> None:
+    host = Host(instance__say="weight")
+    host.take()
+    host.pass_time(300_000)
+    host.leave(3_000_000)
+    host.pass_time(100_000)
+    assert not [d for d in host.seen if d.verb == Verb.PUBLISH and d.level == 0]
+    host.pass_time(500_000)
+    assert [d.level for d in host.seen if d.verb == Verb.PUBLISH][-1] == 0
