--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -60,7 +60,6 @@
 CALLERS_KEPT = 512
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
 INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
-NO_ANSWER = (Outcome.TIMEOUT, Outcome.RESET)
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
@@ -104,7 +103,7 @@
             self.ladder.append(Approach())
         self.run_times, self.core_times, self.paces, self.answer_ages, self.call_times = (
             Histogram(EDGES, keep) for keep in (32, 32, 32, 32, 16))
-        self.called_at, self.quick = 0, float("inf")
+        self.called_at, self.quick, self.answered_from = 0, float("inf"), -1
         self.lines: tuple[deque[Txn], ...] = (deque(), deque(), deque())  # first, later tries, over share
         self.target, self.interval = int(TARGET * self.sla_time), int(INTERVAL * self.sla_time)
         self.asked, self.settled = 0.0, 0.0
@@ -118,9 +117,6 @@
     def hold(self, txn: Txn) -> None:
         self.lines[2 if txn.over_share else txn.resent].append(txn)
 
-    def calls_quick(self) -> bool:
-        return self.call_times.quantile(0.9) <= TARGET
-
     def work(self) -> float:
         return max(0.02, self.core_times.quantile(0.5)) * self.sla_time / 1e6
 
@@ -235,14 +231,17 @@
             return
         kind = self.products[txn.product]
         self.calls.end(txn.ref, now, left_behind=outcome in (Outcome.TIMEOUT, Outcome.RESET))
-        kind.call_times.add(spent / kind.sla_time)
+        # One that broke, or that others begun later have overtaken by far, tells of the way to the ledger and
+        # not of its load: slowness holds up later ones too. With a share under one call, time-outs are cuts.
+        lost = outcome == Outcome.RESET or (
+            outcome == Outcome.TIMEOUT and self.call_most >= 1 and kind.answered_from > now - spent)
+        kind.answered_from = max(kind.answered_from, (now - spent) * (outcome == Outcome.OK))
+        if not lost:
+            kind.call_times.add(spent / kind.sla_time)
         kind.quick = min(kind.quick, kind.call_times.quantile(0.5) * kind.sla_time)
         # It grows only while it binds: what is never used would let a crowd in before its slowness shows.
         # What is slow goes by the ledger as it was quickest: a call may take the hold target and be usual.
-        # One that broke, or got no answer while others do, tells of the way to the ledger, not of its load.
-        lost = outcome == Outcome.TIMEOUT and kind.calls_quick()
-        slow = not lost and spent > max(kind.target, CALL_SLOW * kind.quick)
-        if slow or outcome not in (Outcome.OK, *NO_ANSWER):
+        if not lost and (outcome != Outcome.OK or spent > max(kind.target, CALL_SLOW * kind.quick)):
             self.call_cap = max(self.call_floor, self.call_cap * 0.85)
         elif self.calls_bound and outcome == Outcome.OK:
             self.call_cap = min(self.call_most, self.call_cap + CALL_STEP * max(1.0, self.call_floor))
@@ -250,7 +249,7 @@
         if outcome == Outcome.OK:
             self.books.move(txn, Stage.RUNNING, self.now)
         else:
-            txn.failed_as = outcome
+            txn.failed_as = Outcome.RESET if lost else outcome
             # Rule 2: a call that may have taken effect is made again for inquiry-like txns alone.
             txn.may_repeat_call = kind.kind == INQUIRY or outcome in NEVER_RAN
             self._park(txn)
@@ -406,9 +405,9 @@
             if txn.stage != Stage.PARKED or txn.answered:
                 continue
             # A run that meets trouble below mid-way leaves the call out too, against piling up there.
-            # Lost on the way, with time left: once more. (With a share under one call a time-out is a cut.)
-            again = (txn.failed_as in NO_ANSWER[self.call_most < 1 :] and txn.may_repeat_call
-                     and txn.calls_made < 2 and txn.sla_due - self.now > kind.target and kind.calls_quick())
+            # Lost on the way, with time left: made again, as leaving it out would cost value.
+            again = (txn.failed_as == Outcome.RESET and txn.may_repeat_call and txn.calls_made < 3
+                     and txn.sla_due - self.now > kind.target)
             waited = self.now - txn.since > kind.target
             stuck = waited or (txn.failed_as is not None and not again)
             # Room is spared for a call that would lose more and lately waited: few txns are here.
@@ -532,9 +531,9 @@
         """Rule 4 below: the own share of calls, lingering ones included. 0 = no room, else a time-out."""
         time_out, kind = max(TICK, min(txn.sla_due, txn.due) - self.now), self.products[txn.product]
         if self.call_most >= 1:
-            if txn.calls_made == 0 and kind.kind == INQUIRY:  # against no answer ever: leave time for another
-                lost = max(TARGET, CALL_LOST * kind.call_times.quantile(0.9)) * kind.sla_time
-                time_out = min(time_out, int(lost))
+            lost = int(max(TARGET, CALL_LOST * kind.call_times.quantile(0.9)) * kind.sla_time)
+            if txn.calls_made < 2 and kind.kind == INQUIRY and lost + kind.target < time_out:
+                time_out = lost  # against no answer ever: time is left for another
             return time_out if self.calls.in_hand(self.now) + 1 <= self.call_cap else 0
         # A share under one call: the mean over the window must still hold if every call runs to its time-out.
         room = int(self.call_cap * self.calls.window)
