--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,8 @@
 import signal
 import subprocess
 import sys
+import time
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -692,9 +694,14 @@
     os.mkfifo(tmp_path / "config")
     child = subprocess.Popen([sys.executable, "-m", "limeridge"], stderr=subprocess.PIPE, cwd=ROOT.parent,
                              env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "config")})
-    with open(tmp_path / "config", "wb") as config:  # it reads by now
-        child.send_signal(signal.SIGHUP)
-        config.write(b"{}")
+    config, until = -1, time.monotonic() + 20
+    while config < 0 and child.poll() is None and time.monotonic() < until:
+        with suppress(OSError):  # nobody reads yet
+            config = os.open(tmp_path / "config", os.O_WRONLY | os.O_NONBLOCK)
+        time.sleep(0.01)
+    child.send_signal(signal.SIGHUP)
+    os.write(config, b"{}")
+    os.close(config)
     _, told = child.communicate(timeout=20)
     assert child.returncode == 2 and b"seed" in told
 
