--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -404,11 +404,11 @@
             kind = self.products[txn.product]
             if txn.stage != Stage.PARKED or txn.answered:
                 continue
-            # A run that meets trouble below mid-way leaves the call out too, against piling up there.
             # Lost on the way, with time left: made again, as leaving it out would cost value.
             again = (txn.failed_as == Outcome.RESET and txn.may_repeat_call and txn.calls_made < 3
                      and txn.sla_due - self.now > kind.target)
             waited = self.now - txn.since > kind.target
+            # A run that meets trouble below mid-way leaves the call out too, against piling up there.
             stuck = waited or (txn.failed_as is not None and not again)
             # Room is spared for a call that would lose more and lately waited: few txns are here.
             spared = (loss := self._loss(txn)) < self.short and self.now - self.short_at < CALL_STALE
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -294,8 +294,7 @@
         self.stalled = False
         self.asked = 0
         self.blame, self.taken_back = 0, 0
-        self.known = False  # sent a whole message that could be served
-        self.heard = self.since = callers.clock.seconds()
+        self.heard = callers.clock.seconds()
         self.farewell_at: float | None = None
         self.closed_at = 0.0
         self.spoiled = ""  # why nothing more is read
@@ -356,7 +355,7 @@
             case Ask():
                 self.ask(message)
             case Heartbeat():
-                self.callers.knows(self)
+                self.callers.strangers.pop(self, None)
                 self.callers.service.check(message.deep, lambda ready: self.checked(message.id, ready))
             case Revoke(number, ref):
                 if number not in self.open:
@@ -393,7 +392,7 @@
             max(0, int((ask.patience - age) * 1_000)), ask.size_kb, ask.doc,
             lambda answer: self.answer(ask.id, answer), ask.resent, int(ask.effort * 1_000), ask.key)
         self.open[ask.id] = intake
-        self.callers.knows(self)
+        self.callers.strangers.pop(self, None)
         self.callers.admit(intake)
 
     def answer(self, number: int, answer: Answer) -> None:
@@ -480,7 +479,8 @@
         self.most, self.held_most, self.unread_most = most, held_most, unread_most
         self.held, self.unread = 0, 0
         self.connections: dict[Connection, None] = {}
-        self.strangers: dict[Connection, None] = {}  # the oldest first
+        # Those that sent nothing yet that could be served, the oldest first, and since when they stand.
+        self.strangers: dict[Connection, float] = {}
 
     def buildProtocol(self, addr: object) -> Connection | Rejected:
         return Connection(self) if self._room() else Rejected(self.log)
@@ -488,34 +488,33 @@
     def _room(self) -> bool:
         """Against a table full of connections that say nothing, or rest: a newcomer takes the place of one.
         Those that say nothing never fill it, so that usual callers keep theirs."""
-        now, full = self.clock.seconds(), len(self.connections) >= self.most
-        if full or len(self.strangers) * STRANGERS >= self.most:
-            oldest = next(iter(self.strangers), None)
-            if oldest is not None and now - oldest.since >= SETTLE:
-                oldest.close("displaced", abort=True)
-                self.drop(oldest)
-                return True
+        full = len(self.connections) >= self.most
+        oldest = next(iter(self.strangers), None)
+        if ((full or len(self.strangers) * STRANGERS >= self.most) and oldest is not None
+                and self._displaced(oldest, self.strangers[oldest], abort=True)):
+            return True
         if full:
-            resting = [each for each in self.connections if each.known and not each.open and not each.code]
-            if resting:
-                longest = min(resting, key=lambda each: each.heard)
-                if now - longest.heard >= SETTLE:
-                    longest.close("displaced")
-                    self.drop(longest)
-                    return True
-        return not full
+            resting = [each for each in self.connections
+                       if each not in self.strangers and not each.open and not each.code]
+            longest = min(resting, key=lambda each: each.heard, default=None)
+            return longest is not None and self._displaced(longest, longest.heard)
+        return True
+
+    def _displaced(self, connection: Connection, since: float, abort: bool = False) -> bool:
+        """False where it was still heard, or made, a moment ago: it stays."""
+        if self.clock.seconds() - since < SETTLE:
+            return False
+        connection.close("displaced", abort)
+        self.drop(connection)
+        return True
 
     def drop(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
         self.strangers.pop(connection, None)
 
-    def knows(self, connection: Connection) -> None:
-        if not connection.known:
-            connection.known = True
-            self.strangers.pop(connection, None)
-
     def joined(self, connection: Connection) -> None:
-        self.connections[connection] = self.strangers[connection] = None
+        self.connections[connection] = None
+        self.strangers[connection] = connection.heard
         if self.service.shut:
             connection.say_farewell()
 
@@ -548,7 +547,7 @@
                 continue
             if connection.open:
                 continue
-            if now - connection.since > WHOLE and not connection.known:
+            if now - self.strangers.get(connection, now) > WHOLE:
                 connection.close("silent")
             elif connection.frames.begun and now - connection.half_since > WHOLE:
                 connection.close("half-message")
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -121,7 +121,7 @@
 
     def time_out(self) -> None:
         # Never sent: the wait for a connection took all its time, and it proves that nothing ran.
-        sent = self.way is not None and self.way.sent
+        sent = self.way is not None and self.way.line is not None
         self._drop()
         self.end(End.TIMED_OUT if sent else End.UNREACHED)
 
@@ -163,10 +163,8 @@
             way.call.end(proved(status, not_begun), body)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        broke = not self.way.code
         self.way.ended("broke-in-call")
-        if broke:
-            self.way.call.end(End.BROKEN)
+        self.way.call.end(End.BROKEN)  # passed over where the call is over already
 
 
 class Way(ClientFactory):
@@ -178,7 +176,6 @@
         self.ledger, self.call = ledger, call
         self.address = ledger.host, ledger.port
         self.line: Line | None = None
-        self.sent = False
         self.code = ""
         self.connector: Any = None
 
@@ -190,7 +187,6 @@
         if self.code:
             line.transport.abortConnection()
             return
-        self.sent = True
         call = self.call
         line.transport.write(encode(self.ledger.host, call.ref, call.wait, call.body))
 
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -12,7 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import fields, replace
 from functools import partial
 from typing import Any
 
@@ -44,7 +44,7 @@
 BETWEEN = 0.05  # seconds between two looks at the drain
 
 
-FIXED = ("name", "listen", "seed", "memory_mb", "sockets", "products", "customers", "plain")
+TAKEN = ("kernel", "ledger", "node_list", "stop", "cores")  # from a new configuration; the rest is fixed
 
 
 class Job:
@@ -268,9 +268,9 @@
         moved: dict[str, Any] = {"kernel": self.kernel, "ledger": self.ledger, "node_list": self.node_list}
         moved = {name: part for name, part in moved.items() if getattr(new, name) != getattr(old, name)}
         # Open txns, runs and what the brain has learned hang on the rest: it stays until a restart.
-        kept = [name for name in FIXED if getattr(new, name) != getattr(old, name)]
-        self.setup = replace(
-            old, kernel=new.kernel, ledger=new.ledger, node_list=new.node_list, stop=new.stop)
+        self.setup = replace(old, **{name: getattr(new, name) for name in TAKEN})
+        kept = [each.name for each in fields(Setup)
+                if getattr(new, each.name) != getattr(self.setup, each.name)]
         self.log.event("reload", "taken", moved=sorted(moved), needs_restart=kept)
         for name, part in moved.items():
             address = getattr(new, name)
@@ -292,7 +292,7 @@
         # the grace may still run, so the door stays open for most of it.
         grace: Any = self.setup.plain.get("rules.drain_grace", 0)
         stay = min(STAY * grace, self.setup.stop / 2)
-        self.reactor.callLater(stay / 1_000_000, self.guarded, self.shut_door)
+        self.reactor.callLater(stay / 1_000_000, self.shut_door)
         self.repeat(self.drained, BETWEEN)
 
     def shut_door(self) -> None:
