--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -10,7 +10,7 @@
 import ipaddress
 import math
 import os
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -111,12 +111,16 @@
     INT: int, FLOAT: (int, float), BOOL: bool, TEXT: str, LIST: list, OBJECT: dict}
 
 
-def read(path: str | None) -> Setup:
-    """The file that `BALANCER_CONFIG` names."""
+def read_bytes(path: str) -> bytes:
+    return Path(path).read_bytes()
+
+
+def read(path: str | None, load: Callable[[str], bytes] = read_bytes) -> Setup:
+    """The file that `BALANCER_CONFIG` names; `load` raises OSError where it can't be had."""
     if not path:
         raise Unusable("BALANCER_CONFIG: expected the path of the configuration file, it is not set")
     try:
-        value = orjson.loads(Path(path).read_bytes())
+        value = orjson.loads(load(path))
     except OSError as trouble:
         raise Unusable(f"BALANCER_CONFIG: expected a file that can be read, got {trouble.strerror}") from None
     except orjson.JSONDecodeError as trouble:
--- a/limeridge/net/log.py
+++ b/limeridge/net/log.py
@@ -10,6 +10,7 @@
 import time
 import traceback
 from collections.abc import Callable
+from functools import partial
 
 import orjson
 
@@ -19,15 +20,20 @@
 
 
 class Log:
-    def __init__(self, name: str, sink: int = 1, clock: Callable[[], float] = time.monotonic) -> None:
-        self.name, self.sink, self.clock = name, sink, clock
+    """`write` takes a line and gives how much of it went out; without one the lines go to descriptor `sink`."""
+
+    def __init__(self, name: str, sink: int = 1, clock: Callable[[], float] = time.monotonic,
+                 unix: Callable[[], float] = time.time, write: Callable[[bytes], int] | None = None) -> None:
+        self.name, self.clock, self.unix = name, clock, unix
+        self.write = write or partial(os.write, sink)
         self.counts: dict[tuple[str, str], int] = {}
         self.span_end = clock() + SPAN
         self.dropped = 0
-        try:
-            os.set_blocking(sink, False)
-        except OSError:
-            self.dropped += 1
+        if write is None:
+            try:
+                os.set_blocking(sink, False)
+            except OSError:
+                self.dropped += 1
 
     def event(self, event: str, code: str = "", **fields: object) -> None:
         if self.clock() >= self.span_end:
@@ -53,15 +59,15 @@
             self._write("held-back", code, {"of": event, "lines": count})
 
     def _write(self, event: str, code: str, fields: dict[str, object]) -> None:
-        line: dict[str, object] = {"t": round(time.time(), 3), "who": self.name, "event": event}
+        line: dict[str, object] = {"t": round(self.unix(), 3), "who": self.name, "event": event}
         if code:
             line["code"] = code
         if self.dropped:
             line["dropped"] = self.dropped
         try:
             text = orjson.dumps(line | fields, default=str, option=orjson.OPT_APPEND_NEWLINE)
-            if os.write(self.sink, text) < len(text):
-                os.write(self.sink, b"\n")
+            if self.write(text) < len(text):
+                self.write(b"\n")
             self.dropped = 0
         except (OSError, TypeError, ValueError):
             self.dropped += 1
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -75,7 +75,8 @@
 class Instance:
     """One service instance."""
 
-    def __init__(self, setup: Setup, reactor: Any, log: Log, reread: Callable[[], Setup]) -> None:
+    def __init__(self, setup: Setup, reactor: Any, log: Log, reread: Callable[[], Setup],
+                 unix: Callable[[], float] = time.time) -> None:
         self.setup, self.reactor, self.log, self.reread = setup, reactor, log, reread
         self.reading: Any = None  # the timer of another look at a configuration that could not be used
         plain = setup.plain
@@ -89,7 +90,7 @@
         to_ledger = min(128, setup.sockets // 8)
         self.callers = Callers(self, Decoder(setup.products, setup.customers), reactor, log,
                                most=setup.sockets - to_ledger - spare,
-                               held_most=budget // 8, unread_most=budget // 8)
+                               held_most=budget // 8, unread_most=budget // 8, unix=unix)
         self.kernel = Kernel(self, reactor, setup.kernel.host, setup.kernel.port, log)
         self.ledger = Ledger(reactor, setup.ledger.host, setup.ledger.port, log, to_ledger)
         self.node_list = NodeList(setup.name, setup.node_list.host, setup.node_list.port)
@@ -312,6 +313,11 @@
                            connections=len(self.callers.connections))
             self.stop()
 
+    def notices(self) -> dict[int, Callable[[], None]]:
+        """What each signal does, in the reactor's turn."""
+        return {signal.SIGTERM: self.leave, signal.SIGINT: self.leave,
+                signal.SIGHUP: lambda: self.guarded(self.reload)}
+
     def stop(self) -> None:
         for loop in self.loops:
             if loop.running:
@@ -328,9 +334,8 @@
     # Timers must not follow Unix time, which may step back and hold them up.
     reactor.seconds = time.monotonic
     instance = Instance(setup, reactor, Log(setup.name), reread)
-    for notice in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(notice, lambda *_: reactor.callFromThread(instance.leave))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(instance.guarded, instance.reload))
+    for notice, taken in instance.notices().items():
+        signal.signal(notice, lambda *_, taken=taken: reactor.callFromThread(taken))
     # Begun, as Twisted keeps 65,536 events for whoever begins later, with all that they hold on to.
     observer: Any = instance.observed
     globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
--- /dev/null
+++ b/limeridge/sim/plan.py
@@ -0,0 +1,421 @@
+"""What one seed holds: the fleet, its terms, its traffic and its faults, drawn ahead of the run.
+
+It owns the draw, its ranges and the rules that make faults legal together (each is over by the quiet point; a
+machine is not killed twice at once). It must never run anything: a plan is plain data that can be kept, cut down and
+played again.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from itertools import combinations
+from typing import Any
+
+import orjson
+
+from limeridge.sim.links import Weather
+from limeridge.sim.timeline import SECOND, Ties
+
+MS = 1_000
+
+
+class Kind(Enum):
+    """Kinds of fault; the text is the name in scenario files and tables."""
+
+    KILL = "kill"  # a machine, instance and kernel, dies and starts again cold
+    PAUSE = "pause"  # a machine stands still
+    SLOW_CORES = "slow-cores"
+    DRAIN = "drain"  # SIGTERM, the kill at its time, a successor under the same name
+    RELOAD = "reload"  # SIGHUP with the other addresses of kernel, ledger and node list
+    RELOAD_BAD = "reload-bad"
+    RELOAD_HALF = "reload-half"  # the file is half written, whole a moment later
+    LINK_BREAK = "link-break"  # the kernel's link, in the middle of whatever is on it
+    NOTICES_DOUBLED = "notices-doubled"
+    LEDGER_SLOW = "ledger-slow"
+    LEDGER_DOWN = "ledger-down"  # refuses connections
+    LEDGER_FULL = "ledger-full"  # turns calls away
+    LEDGER_FAILS = "ledger-fails"
+    LEDGER_LOSES = "ledger-loses"  # calls never answered
+    LEDGER_SPOILS = "ledger-spoils"
+    LEDGER_DOUBLES = "ledger-doubles"
+    NODE_LIST_DOWN = "node-list-down"
+    RUDE = "rude"  # bad callers at one instance
+    CLOCK_STEP = "clock-step"  # of one machine's Unix time
+    CALLER_RESTART = "caller-restart"
+    JUMP = "jump"  # of the traffic
+    CUT = "cut"  # both ways between an instance and a far end
+    CUT_ONE_WAY = "cut-one-way"
+    RESETS = "resets"  # connections of callers reset
+    SLOW_WIRE = "slow-wire"
+
+
+AT_INSTANCE = (Kind.KILL, Kind.PAUSE, Kind.SLOW_CORES, Kind.DRAIN, Kind.RELOAD, Kind.RELOAD_BAD, Kind.RELOAD_HALF,
+               Kind.LINK_BREAK, Kind.NOTICES_DOUBLED, Kind.RUDE, Kind.CLOCK_STEP, Kind.CUT, Kind.CUT_ONE_WAY,
+               Kind.RESETS, Kind.SLOW_WIRE)
+ENDS_LIVES = (Kind.KILL, Kind.DRAIN)
+TRIGGERS = ("asked", "sched", "iodone", "noio", "open", "fence", "ioreq", "reap", "call", "reply", "answer", "revoke")
+FAR = ("kernel", "ledger", "callers", "node-list")
+RUDE_KINDS = 14
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """`at` and `lasts` in microseconds from the start. With a trigger it comes `lag` after the `nth` such event of
+    its instance from `at` on, and not at all where there is none."""
+
+    kind: Kind
+    at: int
+    lasts: int
+    target: int = 0  # instance or caller
+    amount: float = 0.0
+    far: str = ""  # the other end of a cut
+    trigger: str = ""
+    nth: int = 1
+    lag: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Product:
+    name: str
+    kind: str  # free, guarded, single_shot: the settings' words
+    sla: int
+    expiry: int
+    window: int
+    value: float
+    skip: float
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A client's txn, by the caller that it comes through."""
+
+    at: int
+    caller: int
+    product: int
+    customer: int
+    key: str
+    size_kb: float
+    patience: int  # ms a try
+    work: int  # microseconds on a core
+    calls: int
+    op: int  # microseconds that a call takes
+    effort: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Caller:
+    tries: int
+    heeds: bool
+    sticky: float
+    hedges: float
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """All that a run is made of; times in microseconds from its start."""
+
+    seed: int
+    scenario: str
+    instances: int
+    cores: int
+    products: tuple[Product, ...]
+    customers: int
+    callers: tuple[Caller, ...]
+    weather: Weather
+    asks: tuple[Ask, ...]
+    faults: tuple[Fault, ...]
+    quiet: int  # all heals and nothing new comes
+    quantum: int = 1
+    ties: Ties = Ties.DRAWN
+    calls_out: float = 8.0
+    calls_over: int = 2 * SECOND
+    memory_kb: float = 20_000.0
+    run_factor: float = 8.0
+    grace: int = 300 * MS
+    stop: int = 1_200 * MS
+    sockets: int = 512
+    cold: bool = False
+    round: int = 5 * MS
+    boot: int = 0  # microseconds that a kernel takes to come up
+
+    def config(self, number: int, moved: bool = False, life: int = 0) -> dict[str, Any]:
+        """The configuration of an instance, in the platform's form; `moved` names the other addresses."""
+        last = 1 if moved else 0
+        return {
+            "name": f"n{number}", "listen": f"{instance_ip(number)}:8443",
+            "kernel": f"{kernel_ip(number)}:{7300 + last}", "records": f"{LEDGER_IP}:{8900 + last}",
+            "roster": f"{NODE_LIST_IP}:{7946 + last}",
+            "seed": f"{(self.seed * 7_919 + number * 101 + life * 13) & 0xffffffffffff:x}",
+            "stop_ms": self.stop / MS, "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
+            "settings": {
+                "classes": [{"name": p.name, "aim": p.sla, "deadline": p.expiry, "idempotency": p.kind,
+                             "keyTtl": p.window, "worth": p.value} for p in self.products],
+                "accounts": [{"name": f"c{n}", "quotaPerS": 30.0} for n in range(self.customers)],
+                "familyInfo": {
+                    "cpus": self.cores, "classCalls": [True] * len(self.products),
+                    "classSkipWorth": [p.skip for p in self.products], "callsOut": self.calls_out,
+                    "callsOver": self.calls_over, "linger": 100 * MS, "memoryKb": self.memory_kb,
+                    "runFactor": self.run_factor, "kbPerKey": 10.0, "passesDeadline": True, "preemption": "none",
+                    "say": "weight", "callers": len(self.callers), "idle": 3_000_000, "justStarted": self.cold,
+                    "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"]},
+                "guarantees": {"drainGrace": self.grace, "overloadFactor": 4.0, "coldFrom": 0.25,
+                               "rampTime": 10_000_000, "answerSlack": 60 * MS},
+                "ceilings": {"retryAfter": True, "maxRetryAfter": 1_000_000}, "clients": {"marksRetry": True},
+                "groupSize": self.instances, "round": self.round}}
+
+    def size(self) -> int:
+        return len(self.asks) + 10 * len(self.faults)
+
+
+LEDGER_IP, NODE_LIST_IP, RUDE_IP, PROBE_IP = "127.0.9.1", "127.0.9.5", "127.0.8.1", "127.0.8.9"
+
+
+def instance_ip(number: int) -> str:
+    return f"127.0.{20 + number}.1"
+
+
+def kernel_ip(number: int) -> str:
+    return f"127.0.{20 + number}.2"
+
+
+def caller_ip(number: int) -> str:
+    return f"127.0.7.{1 + number}"
+
+
+# ---- ranges
+
+Range = tuple[float, float]
+
+
+@dataclass(slots=True, frozen=True)
+class Ranges:
+    """What a scenario lets the seed draw from."""
+
+    name: str = "any"
+    instances: Range = (2, 5)
+    cores: Range = (1, 3)
+    callers: Range = (2, 4)
+    seconds: Range = (2.5, 4.0)  # of traffic
+    txns: Range = (100, 220)
+    work_ms: Range = (2, 35)
+    op_ms: Range = (2, 60)
+    calls: Range = (0, 2)
+    faults: Range = (3, 9)
+    kinds: tuple[Kind, ...] = tuple(Kind)
+    scripted: tuple[Fault, ...] = ()
+    quanta: tuple[int, ...] = (1, 1, 100, 1_000, 5_000)
+    ties: Ties = Ties.DRAWN
+    triggered: float = 0.35  # share of faults that wait for an event
+    expiry_ms: Range = (500, 2_000)
+    stop_ms: Range = (800, 1_600)
+    grace_ms: Range = (100, 500)
+    cold: float = 0.3  # share of seeds whose first lives start cold
+    referenced: float = 0.4
+    once_only: float = 0.15
+
+
+def whole(chance: random.Random, within: Range) -> int:
+    return int(chance.randint(math.ceil(within[0]), max(math.ceil(within[0]), math.floor(within[1]))))
+
+
+def spread(chance: random.Random, within: Range) -> float:
+    """Even in the logarithm: small values as often as large ones."""
+    least, most = max(within[0], 1e-6), max(within[1], 1e-6)
+    return math.exp(chance.uniform(math.log(least), math.log(most)))
+
+
+def draw(ranges: Ranges, seed: int) -> Plan:
+    """The plan of a seed; the same on every machine."""
+    chance = random.Random(f"{ranges.name}/{seed}")
+    span = int(chance.uniform(*ranges.seconds) * SECOND)
+    instances, cores = whole(chance, ranges.instances), whole(chance, ranges.cores)
+    callers = tuple(Caller(chance.choice((1, 3, 3, 8)), chance.random() < 0.6, chance.choice((0.0, 0.3, 1.0)),
+                           chance.choice((0.0, 0.0, 0.2))) for _ in range(whole(chance, ranges.callers)))
+    products = tuple(draw_products(ranges, chance))
+    customers = chance.choice((0, 1, 2))
+    faults = tuple(draw_faults(ranges, chance, span, instances, len(callers)))
+    asks = tuple(draw_asks(ranges, chance, span, products, customers, len(callers), faults))
+    weather = Weather(
+        least=chance.choice((10, 50, 200)), most=chance.choice((200, 400, 2_000)), split=chance.choice((0.0, 0.1, 0.5)),
+        join=chance.choice((0.0, 0.3, 0.9)), window=chance.choice((2_048, 16_384, 65_536)),
+        lost=chance.choice((0.0, 0.02, 0.2)), doubled=chance.choice((0.0, 0.05)), backlog=chance.choice((4, 128)))
+    return Plan(
+        seed=seed, scenario=ranges.name, instances=instances, cores=cores, products=products, customers=customers,
+        callers=callers, weather=weather, asks=asks, faults=faults, quiet=span,
+        quantum=chance.choice(ranges.quanta), ties=ranges.ties, calls_out=chance.choice((2.0, 4.0, 8.0, 16.0)),
+        calls_over=chance.choice((SECOND, 2 * SECOND)), memory_kb=chance.choice((1_500.0, 5_000.0, 20_000.0)),
+        grace=whole(chance, ranges.grace_ms) * MS, stop=whole(chance, ranges.stop_ms) * MS,
+        sockets=chance.choice((64, 128, 512)), cold=chance.random() < ranges.cold,
+        round=chance.choice((0, 5 * MS)), boot=chance.choice((0, 0, 50 * MS, 300 * MS)))
+
+
+def draw_products(ranges: Ranges, chance: random.Random) -> Iterator[Product]:
+    def one(name: str, kind: str, window: int, value: float, skip: float) -> Product:
+        expiry = int(spread(chance, ranges.expiry_ms)) * MS
+        return Product(name, kind, int(expiry * chance.uniform(0.3, 0.8)), expiry, window, value, skip)
+
+    yield one("look", "free", 0, 1.0, chance.choice((0.3, 0.6)))
+    if ranges.referenced > 0:
+        yield one("book", "guarded", chance.choice((SECOND, 3 * SECOND)), 3.0, 0.0)
+    if ranges.once_only > 0 and chance.random() < 0.6:
+        yield one("pay", "single_shot", 0, 2.0, 0.0)
+    if chance.random() < 0.3:
+        yield one("list", "free", 0, 1.0, 0.0)
+
+
+def draw_asks(ranges: Ranges, chance: random.Random, span: int, products: Sequence[Product], customers: int,
+              callers: int, faults: Sequence[Fault]) -> list[Ask]:
+    """Arrivals: an even stream, bursts, and what a jump of the traffic adds."""
+    count = whole(chance, ranges.txns)
+    times = [int(chance.uniform(100 * MS, span)) for _ in range(count)]
+    for fault in faults:
+        if fault.kind is Kind.JUMP:
+            times += [int(chance.uniform(fault.at, fault.at + fault.lasts)) for _ in range(int(fault.amount))]
+    if chance.random() < 0.3:  # all at once, as callers come back together
+        at = int(chance.uniform(100 * MS, span))
+        times += [at] * whole(chance, (5, 25))
+    weights = {"free": 1.0, "guarded": ranges.referenced, "single_shot": ranges.once_only}
+    keys = max(2, count // 6)
+    asks = []
+    for at in sorted(times):
+        number = chance.choices(range(len(products)), [weights[p.kind] for p in products])[0]
+        product = products[number]
+        patience = product.expiry // MS if chance.random() < 0.7 else int(
+            spread(chance, (50, product.expiry / MS)))
+        asks.append(Ask(
+            at, whole(chance, (0, callers - 1)), number, whole(chance, (0, max(0, customers - 1))) if customers else -1,
+            f"k{whole(chance, (0, keys))}" if product.kind == "guarded" else "",
+            round(spread(chance, (2, 60)), 1), patience, int(spread(chance, ranges.work_ms) * MS),
+            whole(chance, ranges.calls), int(spread(chance, ranges.op_ms) * MS), chance.random() < 0.5))
+    return asks
+
+
+def draw_faults(ranges: Ranges, chance: random.Random, span: int, instances: int, callers: int) -> list[Fault]:
+    """The scripted ones, and as many drawn ones as fit; one instance is not ended twice."""
+    faults = list(ranges.scripted)
+    ended = {fault.target for fault in faults if fault.kind in ENDS_LIVES}
+    for _ in range(whole(chance, ranges.faults) if ranges.kinds else 0):
+        kind = chance.choice(ranges.kinds)
+        target = whole(chance, (0, (instances if kind in AT_INSTANCE else callers) - 1))
+        if kind in ENDS_LIVES:
+            if target in ended:
+                continue
+            ended.add(target)
+        faults.append(draw_fault(kind, target, ranges, chance, span))
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def draw_fault(kind: Kind, target: int, ranges: Ranges, chance: random.Random, span: int) -> Fault:
+    at = int(chance.uniform(0.05, 0.85) * span)
+    lasts = int(spread(chance, (20 * MS, 0.6 * span)))
+    trigger = chance.choice(TRIGGERS) if kind in AT_INSTANCE and chance.random() < ranges.triggered else ""
+    amounts: dict[Kind, Range] = {
+        Kind.SLOW_CORES: (0.05, 0.6), Kind.LEDGER_SLOW: (2, 30), Kind.LEDGER_FULL: (0.05, 1.0),
+        Kind.LEDGER_FAILS: (0.05, 1.0), Kind.LEDGER_LOSES: (0.05, 1.0), Kind.LEDGER_SPOILS: (0.05, 1.0),
+        Kind.LEDGER_DOUBLES: (0.1, 1.0), Kind.NOTICES_DOUBLED: (0.1, 1.0), Kind.JUMP: (20, 120),
+        Kind.RUDE: (1, 12), Kind.RESETS: (1, 6), Kind.SLOW_WIRE: (1_000, 200_000), Kind.KILL: (0.05, 0.8)}
+    amount = spread(chance, amounts[kind]) if kind in amounts else 0.0
+    if kind is Kind.CLOCK_STEP:
+        amount = chance.choice((-1, 1)) * spread(chance, (0.005, 3_600))
+    if kind is Kind.RUDE:
+        amount = whole(chance, amounts[kind]) * RUDE_KINDS + whole(chance, (0, RUDE_KINDS - 1))
+    return Fault(kind, at, lasts, target, amount, chance.choice(FAR) if kind in (Kind.CUT, Kind.CUT_ONE_WAY) else "",
+                 trigger, whole(chance, (1, 6)) if trigger else 1,
+                 chance.choice((0, 0, 100, 400, 1_000, 20_000)) if trigger else 0)
+
+
+# ---- what was met
+
+def pairs_met(plan: Plan, came: Sequence[tuple[Kind, int, int]]) -> set[tuple[str, str]]:
+    """Pairs of kinds whose spans overlapped in a run, a second of after-effects counted in."""
+    met = set()
+    for (one, begin, end), (other, start, stop) in combinations(came, 2):
+        if begin <= stop + SECOND and start <= end + SECOND:
+            met.add((min(one.value, other.value), max(one.value, other.value)))
+    return met
+
+
+# ---- kept as text, for the corpus and for shrunk cases
+
+def to_json(plan: Plan) -> bytes:
+    return orjson.dumps(plan, option=orjson.OPT_INDENT_2, default=lambda each: each.value)
+
+
+def from_json(data: bytes) -> Plan:
+    """ValueError, KeyError or TypeError where it is no plan."""
+    value = orjson.loads(data)
+    return Plan(**value | {
+        "products": tuple(Product(**each) for each in value["products"]),
+        "callers": tuple(Caller(**each) for each in value["callers"]),
+        "weather": Weather(**value["weather"]),
+        "asks": tuple(Ask(**each) for each in value["asks"]),
+        "faults": tuple(Fault(**each | {"kind": Kind(each["kind"])}) for each in value["faults"]),
+        "ties": Ties(value["ties"])})
+
+
+# ---- smaller plans, for shrinking
+
+@dataclass(slots=True)
+class Shrinker:
+    """Proposes smaller plans, largest cuts first, and learns which of them still fail: a delta search over faults,
+    txns, instances and time. `next` gives a plan to try, `tell` how it went."""
+
+    best: Plan
+    broken_at: int  # microseconds from the start at which the rule broke
+    tried: set[bytes] = field(default_factory=set)
+    tries: int = 0
+
+    def proposals(self) -> Iterator[Plan]:
+        """In one round; begin again from the new best after each that still fails."""
+        plan = self.best
+        late = self.broken_at + 1
+        yield replace(plan, quiet=min(plan.quiet, late), asks=tuple(a for a in plan.asks if a.at <= late),
+                      faults=tuple(f for f in plan.faults if f.at <= late))
+        for part in self._parts(len(plan.faults)):
+            yield replace(plan, faults=without(plan.faults, part))
+        for part in self._parts(len(plan.asks)):
+            yield replace(plan, asks=without(plan.asks, part))
+        for number in range(plan.instances - 1, 0, -1):
+            yield replace(plan, instances=number, faults=tuple(
+                f for f in plan.faults if f.kind not in AT_INSTANCE or f.target < number))
+        if len(plan.callers) > 1:
+            yield replace(plan, callers=plan.callers[:1], asks=tuple(replace(a, caller=0) for a in plan.asks),
+                          faults=tuple(replace(f, target=0) if f.kind is Kind.CALLER_RESTART else f for f in plan.faults))
+        calm = replace(plan.weather, split=0.0, join=0.0, lost=0.0, doubled=0.0, late=0.0)
+        yield replace(plan, weather=calm)
+        for number, fault in enumerate(plan.faults):
+            if fault.lasts > 20 * MS:
+                shorter = replace(fault, lasts=fault.lasts // 2)
+                yield replace(plan, faults=(*plan.faults[:number], shorter, *plan.faults[number + 1:]))
+
+    @staticmethod
+    def _parts(count: int) -> Iterator[slice]:
+        size = count
+        while size >= 1:
+            for start in range(0, count, size):
+                yield slice(start, start + size)
+            size //= 2
+
+    def next(self) -> Plan | None:
+        for plan in self.proposals():
+            text = to_json(plan)
+            if plan != self.best and text not in self.tried:
+                self.tried.add(text)
+                self.tries += 1
+                return plan
+        return None
+
+    def tell(self, plan: Plan, broken_at: int | None) -> None:
+        """`broken_at` is None where the rule held."""
+        if broken_at is not None:
+            self.best, self.broken_at = plan, broken_at
+
+
+def without(items: tuple[Any, ...], part: slice) -> tuple[Any, ...]:
+    left = list(items)
+    del left[part]
+    return tuple(left)
