Never send a reply to the kernel twice: it may be taken for a later call's

A reply names no call, so it goes out once; where it may be lost with the link, a run that can go on without is told so, which names its call.

--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -133,6 +133,17 @@
     return orjson.dumps({"event": event, **fields}, option=orjson.OPT_APPEND_NEWLINE)
 
 
+@dataclass(slots=True, eq=False)
+class Command:
+    """What was last commanded for a run, until a notice shows that it was carried out."""
+
+    line: bytes
+    serial: int
+    sent: bool = False  # on some link
+    replies_to: int = 0  # for a reply, the notice that asked for the call
+    may_skip: bool = False  # whether that call may be left out
+
+
 class Service(Protocol):
     """What the link tells whoever wires it up."""
 
@@ -193,10 +204,11 @@
         self.dial: Dial | None = None  # the try that is under way
         self.redial: Any = None  # the timer of the next one
         self.lost_at = 0.0  # when the link was last good
-        self.uncarried: dict[str, bytes] = {}  # by handle, in the order of their sending
+        self.uncarried: dict[str, Command] = {}  # by handle, in the order of their sending
+        self.serial, self.known = 0, 0  # of commands: the last given, the last that the kernel is known to have read
         self.resent: set[str] = set()
         self.tickets = 0
-        self.asked: dict[str, Deferred[Any]] = {}
+        self.asked: dict[str, tuple[Deferred[Any], int]] = {}  # by ticket, with the last command before it
 
     @property
     def present(self) -> bool:
@@ -230,8 +242,11 @@
     def start(self, ref: str, entry: str, doc: str) -> None:
         self._command(ref, "SCHED", entry=entry, arg=doc)
 
-    def reply(self, ref: str, body: bytes) -> None:
+    def reply(self, ref: str, body: bytes, cursor: int, may_skip: bool) -> None:
+        """The reply to the call that notice `cursor` asked for; `may_skip`: the run could go on without it."""
         self._command(ref, "IODONE", arg=base64.b64encode(body).decode())
+        command = self.uncarried[ref]
+        command.replies_to, command.may_skip = cursor, may_skip
 
     def go_on(self, ref: str, cursor: int) -> None:
         self._command(ref, "NOIO", cursor=cursor)
@@ -250,9 +265,11 @@
 
     def _command(self, ref: str, event: str, **fields: object) -> None:
         line = encode(event, handle=ref, **fields)
+        self.serial += 1
         self.uncarried.pop(ref, None)
-        self.uncarried[ref] = line
+        command = self.uncarried[ref] = Command(line, self.serial)
         if self.ready and self.link is not None:
+            command.sent = True
             self.link.transport.write(line)
 
     def _ask(self, event: str, time_out: float, nothing: Any) -> Deferred[Any]:
@@ -263,14 +280,19 @@
         answer: Deferred[Any] = Deferred()
         timer = self.reactor.callLater(time_out, self._answer, ticket, nothing)
         answer.addBoth(lambda result: (timer.active() and timer.cancel(), result)[1])
-        self.asked[ticket] = answer
+        self.asked[ticket] = answer, self.serial
         self.link.transport.write(encode(event, ticket=ticket))
         return answer
 
     def _answer(self, ticket: str, result: Any) -> None:
-        answer = self.asked.pop(ticket, None)
-        if answer is not None:
-            answer.callback(result)
+        asked = self.asked.pop(ticket, None)
+        if asked is not None:
+            asked[0].callback(result)
+
+    def _heard_back(self, ticket: str) -> None:
+        """Commands are read in their order: what was sent before this question has arrived."""
+        if ticket in self.asked:
+            self.known = max(self.known, self.asked[ticket][1])
 
     # ---- the link
 
@@ -332,8 +354,10 @@
                 if ticket == FENCE:
                     self._resume()
                 else:
+                    self._heard_back(ticket)
                     self._answer(ticket, figures)
             case Posted(ticket, well):
+                self._heard_back(ticket)
                 self._answer(ticket, well)
             case Booted(cold, ago):
                 self.delay = RELINK[0]
@@ -356,8 +380,15 @@
         self.ready = True
         if self.cursor:
             self.resent |= set(self.uncarried)
-        for line in self.uncarried.values():
-            self.link.transport.write(line)
+        for ref, command in self.uncarried.items():
+            again, command.sent = command.sent, True
+            if not (again and command.replies_to):
+                self.link.transport.write(command.line)
+            elif command.serial > self.known and command.may_skip:
+                # A reply names no call: sent again, it may be taken for that of a later one. Whether the first
+                # arrived can't be known, so a run that can go on without is told so, which names its call. One
+                # that can't is left: it has the reply, or waits until its txn's due time ends it.
+                self.link.transport.write(encode("NOIO", handle=ref, cursor=command.replies_to))
 
     def _notice(self, notice: Notice) -> None:
         if notice.cursor <= self.cursor:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -94,6 +94,8 @@
         self.kernel = Kernel(self, reactor, setup.kernel.host, setup.kernel.port, log)
         self.ledger = Ledger(reactor, setup.ledger.host, setup.ledger.port, log, to_ledger)
         self.node_list = NodeList(setup.name, setup.node_list.host, setup.node_list.port)
+        values: Any = plain.get("instance.skip_values") or []
+        self.skips = [number < len(values) and values[number] > 0 for number in range(len(setup.products))]
         self.port: Any = None
         self.exit_code = 0
         self.work_seen = False
@@ -188,11 +190,15 @@
             return await self.facade.pick(job.intake)
         news = job.news.popleft() if job.news else await job.next()
         if isinstance(news, Called) and news.end is End.OK:
-            self.kernel.reply(job.intake.ref, news.body)
+            self.reply(job, news.body)
         elif isinstance(news, Blocked):
             job.blocked = news
         return await self.facade.report(job.intake, news)
 
+    def reply(self, job: Job, body: bytes) -> None:
+        if job.blocked is not None:
+            self.kernel.reply(job.intake.ref, body, job.blocked.cursor, self.skips[job.intake.product])
+
     def carry_out(self, job: Job, step: Step) -> None:
         intake = job.intake
         if step.do is Do.RUN:
--- a/limeridge/sim/reactor.py
+++ b/limeridge/sim/reactor.py
@@ -86,7 +86,7 @@
 class Flow:
     """One direction of a connection: what its writer has not sent, what is in the air, what is not read."""
 
-    __slots__ = ("air", "arriving", "buffer", "ended", "inbox", "last", "network", "source", "target")
+    __slots__ = ("air", "arriving", "broken", "buffer", "ended", "inbox", "last", "network", "source", "target")
 
     def __init__(self, network: Network) -> None:
         self.network = network
@@ -95,6 +95,7 @@
         self.inbox = bytearray()
         self.ended = False  # the end of the stream has arrived
         self.arriving = False
+        self.broken = False  # nothing more gets through, a reset is on its way
         self.last = 0
         self.source: Socket
         self.target: Socket
@@ -115,6 +116,8 @@
                 start = end
 
     def _launch(self, piece: bytes | None) -> None:
+        if self.broken:
+            return
         links, timeline = self.network.links, self.network.timeline
         arrive = timeline.now + links.delay(self.source.life.ip, self.target.life.ip, len(piece or b""))
         self.last = max(self.last, arrive)
