--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -205,7 +205,8 @@
         self.redial: Any = None  # the timer of the next one
         self.lost_at = 0.0  # when the link was last good
         self.uncarried: dict[str, Command] = {}  # by handle, in the order of their sending
-        self.serial, self.known = 0, 0  # of commands: the last given, the last that the kernel is known to have read
+        # of commands: the last given, the last that the kernel is known to have read
+        self.serial, self.known = 0, 0
         self.resent: set[str] = set()
         self.tickets = 0
         self.asked: dict[str, tuple[Deferred[Any], int]] = {}  # by ticket, with the last command before it
@@ -243,7 +244,8 @@
         self._command(ref, "SCHED", entry=entry, arg=doc)
 
     def reply(self, ref: str, body: bytes, cursor: int, may_skip: bool) -> None:
-        """The reply to the call that notice `cursor` asked for; `may_skip`: the run could go on without it."""
+        """The reply to the call that notice `cursor` asked for; `may_skip`: the run could go on without
+        it."""
         self._command(ref, "IODONE", arg=base64.b64encode(body).decode())
         command = self.uncarried[ref]
         command.replies_to, command.may_skip = cursor, may_skip
@@ -385,9 +387,9 @@
             if not (again and command.replies_to):
                 self.link.transport.write(command.line)
             elif command.serial > self.known and command.may_skip:
-                # A reply names no call: sent again, it may be taken for that of a later one. Whether the first
-                # arrived can't be known, so a run that can go on without is told so, which names its call. One
-                # that can't is left: it has the reply, or waits until its txn's due time ends it.
+                # A reply names no call: sent again, it may be taken for that of a later one. Whether the
+                # first arrived can't be known, so a run that can go on without is told so, which names its
+                # call. One that can't is left: it has the reply, or waits until its txn's due time ends it.
                 self.link.transport.write(encode("NOIO", handle=ref, cursor=command.replies_to))
 
     def _notice(self, notice: Notice) -> None:
--- a/limeridge/net/log.py
+++ b/limeridge/net/log.py
@@ -20,7 +20,8 @@
 
 
 class Log:
-    """`write` takes a line and gives how much of it went out; without one the lines go to descriptor `sink`."""
+    """`write` takes a line and gives how much of it went out; without one the lines go to descriptor
+    `sink`."""
 
     def __init__(self, name: str, sink: int = 1, clock: Callable[[], float] = time.monotonic,
                  unix: Callable[[], float] = time.time, write: Callable[[bytes], int] | None = None) -> None:
--- a/limeridge/settings/generate.py
+++ b/limeridge/settings/generate.py
@@ -15,7 +15,9 @@
     from grpc_tools import protoc  # type: ignore[import-untyped]
 
     for source in sorted(HERE.glob("*.proto")):
-        failed = protoc.main(["protoc", f"-I{HERE}", f"--python_out={into}", f"--pyi_out={into}", str(source)])
+        failed = protoc.main(
+            ["protoc", f"-I{HERE}", f"--python_out={into}", f"--pyi_out={into}", str(source)]
+        )
         if failed:
             raise SystemExit(f"limeridge: {source.name}: protoc ended with {failed}")
 
--- a/limeridge/settings/load.py
+++ b/limeridge/settings/load.py
@@ -1,7 +1,8 @@
-"""Reading settings: a file in protobuf text format into its message, or one clear line naming file, place and fault.
+"""Reading settings: a file in protobuf text format into its message, or one clear line naming file, place and
+fault.
 
-It owns the way from a file to a checked message and the places of its fields. It must never give a value through that
-a check refused, and never know what a message is for.
+It owns the way from a file to a checked message and the places of its fields. It must never give a value
+through that a check refused, and never know what a message is for.
 """
 
 from __future__ import annotations
@@ -30,8 +31,8 @@
 
 
 def places(text: str) -> dict[str, tuple[int, int]]:
-    """Line and column of each field by its path, as in `fault[1].kind`; the first of a repeated one also without
-    its number."""
+    """Line and column of each field by its path, as in `fault[1].kind`; the first of a repeated one also
+    without its number."""
     found: dict[str, tuple[int, int]] = {}
     counts: dict[str, int] = {}
 
@@ -45,8 +46,11 @@
             for value in values:
                 number = counts.get(full, 0)
                 counts[full] = number + 1
-                place = (name.line, name.column) if len(values) == 1 or value is None else (
-                    value.meta.line, value.meta.column)
+                place = (
+                    (name.line, name.column)
+                    if len(values) == 1 or value is None
+                    else (value.meta.line, value.meta.column)
+                )
                 found.setdefault(full, place)
                 found[f"{full}[{number}]"] = place
                 if value is not None and value.data == "message":
@@ -95,8 +99,9 @@
     except OSError as trouble:
         raise Unusable(f"{path}:1:1: expected a file that can be read, got {trouble.strerror}") from None
     except UnicodeDecodeError as trouble:
-        raise Unusable(f"{path}:1:1: expected UTF-8, got byte {trouble.object[trouble.start]} at {trouble.start}"
-                       ) from None
+        raise Unusable(
+            f"{path}:1:1: expected UTF-8, got byte {trouble.object[trouble.start]} at {trouble.start}"
+        ) from None
     return parse(path, text, message, check)
 
 
--- a/limeridge/sim/explore.py
+++ b/limeridge/sim/explore.py
@@ -1,7 +1,7 @@
 """Running plans: one, many in parallel, smaller ones of one that failed; and the coverage of many.
 
-It owns processes, counting and the cutting down of a failing plan. What a run holds is the plan's, what it breaks the
-oracles'.
+It owns processes, counting and the cutting down of a failing plan. What a run holds is the plan's, what it
+breaks the oracles'.
 """
 
 from __future__ import annotations
@@ -33,6 +33,7 @@
 
 # ---- many
 
+
 def _one(job: tuple[str, int]) -> Outcome:
     """In a worker. What it leaves to the collector is freed every so often, outside of any run."""
     outcome = run_seed(*job)
@@ -52,7 +53,9 @@
     if jobs <= 1:
         yield from map(_one, work)
         return
-    with multiprocessing.get_context("forkserver" if os.name == "posix" else "spawn").Pool(jobs, _begin) as pool:
+    with multiprocessing.get_context("forkserver" if os.name == "posix" else "spawn").Pool(
+        jobs, _begin
+    ) as pool:
         yield from pool.imap_unordered(_one, work, chunksize=4)
 
 
@@ -99,8 +102,10 @@
 
 # ---- smaller
 
-def shrink(plan: Plan, outcome: Outcome, seconds: float, told: Callable[[Plan, Outcome], None] | None = None
-           ) -> tuple[Plan, Outcome, int]:
+
+def shrink(
+    plan: Plan, outcome: Outcome, seconds: float, told: Callable[[Plan, Outcome], None] | None = None
+) -> tuple[Plan, Outcome, int]:
     """The smallest plan found in the time that still breaks the same rule; and how many were tried."""
     shrinker, best = Shrinker(plan, outcome.at), outcome
     until = time.monotonic() + seconds
--- a/limeridge/sim/links.py
+++ b/limeridge/sim/links.py
@@ -68,7 +68,9 @@
         """Where `size` bytes are split on their way: ends of the pieces, the last one `size`."""
         if size < 2 or self.chance.random() >= self.weather.split:
             return [size]
-        cuts = sorted({1 + int(self.chance.random() * (size - 1)) for _ in range(1 + (self.chance.random() < 0.3))})
+        cuts = sorted(
+            {1 + int(self.chance.random() * (size - 1)) for _ in range(1 + (self.chance.random() < 0.3))}
+        )
         return [*(cut for cut in cuts if cut < size), size]
 
     def joins(self) -> bool:
--- /dev/null
+++ b/limeridge/sim/mutants.py
@@ -0,0 +1,635 @@
+"""Small defects put into the instance, one at a time, and how many seeds it takes to find each.
+
+It owns the list of defects and their putting in: in memory, in a process of its own, never in a file. It must
+import nothing of the instance itself, or the defect would come too late.
+"""
+
+from __future__ import annotations
+
+import importlib.abc
+import importlib.machinery
+import importlib.util
+import multiprocessing
+import signal
+import statistics
+import sys
+import types
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+RUN_MOST = 30  # seconds of a run that hangs
+APART = 1_000_000  # between the first seeds of two starts
+
+
+@dataclass(slots=True, frozen=True)
+class Mutant:
+    """`old` stands exactly once in the file."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    what: str
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """`seeds` for each start, None where it was not found; `median` over the starts, None if most did not."""
+
+    name: str
+    file: str
+    what: str
+    seeds: tuple[int | None, ...]
+    median: float | None
+    rules: tuple[str, ...]
+
+
+def _m(name: str, file: str, old: str, new: str, what: str) -> Mutant:
+    return Mutant(name, file, old, new, what)
+
+
+CALLERS, KERNEL, LEDGER = "net/callers.py", "net/kernel.py", "net/ledger.py"
+SERVICE, FACADE, CONFIG, BRAIN, NODES = (
+    "net/service.py",
+    "facade.py",
+    "config.py",
+    "brain.py",
+    "net/nodelist.py",
+)
+MUTANTS: tuple[Mutant, ...] = (
+    _m(
+        "second-message",
+        CALLERS,
+        "if count >= TURN:",
+        "if count >= 2:\n                    return\n                if count >= TURN:",
+        "what stands behind two messages of one segment waits for more bytes",
+    ),
+    _m(
+        "exact-frame",
+        CALLERS,
+        "            if len(self.data) < self.need:\n",
+        "            if len(self.data) <= self.need:\n",
+        "a message is read only once a byte of the next has come",
+    ),
+    _m(
+        "revoke-other",
+        CALLERS,
+        "next((n for n, intake in self.open.items() if intake.ref == ref), 0)",
+        "next(iter(self.open), 0)",
+        "a late revoke takes back another txn of its connection",
+    ),
+    _m(
+        "backlog-lost",
+        CALLERS,
+        "        for data in self.clear_backlog():\n            self.send(data)\n",
+        "        self.clear_backlog()\n",
+        "answers that waited for a peer to read are thrown away",
+    ),
+    _m(
+        "held-kept",
+        CALLERS,
+        "self.held -= taken(intake)",
+        "self.held -= taken(intake) // 2",
+        "half of a body's bytes stay booked",
+    ),
+    _m(
+        "held-twice",
+        CALLERS,
+        "self.held -= taken(intake)",
+        "self.held -= 2 * taken(intake)",
+        "a release is counted twice",
+    ),
+    _m(
+        "advice-unit",
+        CALLERS,
+        'data["w"] = answer.come_back / 1_000',
+        'data["w"] = answer.come_back',
+        "the time to come back is told in microseconds",
+    ),
+    _m(
+        "age-lost",
+        CALLERS,
+        "age = min(max(0.0, self.callers.unix() * 1_000 - ask.landed), ask.patience or 60_000.0)",
+        "age = 0.0",
+        "a txn's time on the way is not counted",
+    ),
+    _m(
+        "patience-long",
+        CALLERS,
+        "max(0, int((ask.patience - age) * 1_000))",
+        "max(0, int((ask.patience - age) * 1_250))",
+        "a caller is taken to wait a quarter longer",
+    ),
+    _m(
+        "sweep-busy",
+        CALLERS,
+        "            if connection.open:\n                continue\n",
+        "",
+        "connections with open txns are swept too",
+    ),
+    _m(
+        "displace-busy",
+        CALLERS,
+        "and not each.open and not each.code]",
+        "and not each.code]",
+        "a full table closes connections with open txns",
+    ),
+    _m(
+        "doc-trimmed",
+        CALLERS,
+        "ask.size_kb, ask.doc,\n",
+        'ask.size_kb, ask.doc.rstrip("="),\n',
+        "the padding of a body is lost",
+    ),
+    _m(
+        "newest-answered",
+        CALLERS,
+        "lambda answer: self.answer(ask.id, answer)",
+        "lambda answer: self.answer(max(self.open, default=ask.id), answer)",
+        "an answer goes to the newest id of its connection",
+    ),
+    _m(
+        "check-unanswered",
+        CALLERS,
+        "lambda ready: self.checked(message.id, ready)",
+        "lambda ready: ready and self.checked(message.id, ready)",
+        "a health check that would be told 'not ready' is told nothing",
+    ),
+    _m(
+        "notice-twice",
+        KERNEL,
+        "if notice.cursor <= self.cursor:",
+        "if notice.cursor < self.cursor:",
+        "a notice told again is taken again",
+    ),
+    _m(
+        "reply-again",
+        KERNEL,
+        "if not (again and command.replies_to):",
+        "if command:",
+        "a reply is sent again on a new link",
+    ),
+    _m(
+        "skip-again",
+        KERNEL,
+        "command.serial > self.known and command.may_skip",
+        "command.serial > self.known",
+        "any run is told to go on without its call after a break",
+    ),
+    _m(
+        "no-relink",
+        KERNEL,
+        "uncarried=len(self.uncarried))\n        self._relink()",
+        "uncarried=len(self.uncarried))",
+        "a link that is lost is not made again",
+    ),
+    _m(
+        "no-redial",
+        KERNEL,
+        'self.log.event("link-down", "unreached", why=why[:200])\n            self._relink()',
+        'self.log.event("link-down", "unreached", why=why[:200])',
+        "a kernel that was not reached is not tried again",
+    ),
+    _m(
+        "open-at-0",
+        KERNEL,
+        'encode("OPEN", cursor=self.cursor)',
+        'encode("OPEN", cursor=0)',
+        "a new link begins with the first notice",
+    ),
+    _m(
+        "cursor-kept",
+        KERNEL,
+        "        self.cursor = notice.cursor\n        if notice.news",
+        "        self.cursor = max(self.cursor, notice.cursor - 1)\n        if notice.news",
+        "the cursor lags by one",
+    ),
+    _m(
+        "gauges-forever",
+        KERNEL,
+        "self.reactor.callLater(time_out, self._answer, ticket, nothing)",
+        "self.reactor.callLater(time_out * 1_000, self._answer, ticket, nothing)",
+        "a question to the kernel waits for ever",
+    ),
+    _m(
+        "uncarried-lost",
+        KERNEL,
+        "command = self.uncarried[ref] = Command(line, self.serial)\n        if self.ready",
+        'command = Command(line, self.serial)\n        if event == "IODONE":\n            self.uncarried[ref] = command\n        if self.ready',
+        "a command given while the link is down is forgotten",
+    ),
+    _m(
+        "link-ready",
+        KERNEL,
+        "            self.ready, self.lost_at = False, self.reactor.seconds()",
+        "            self.lost_at = self.reactor.seconds()",
+        "a link counts as ready before its notices are read",
+    ),
+    _m(
+        "status-500",
+        LEDGER,
+        "{200: End.OK, 504: End.TIMED_OUT}",
+        "{200: End.OK, 500: End.OK, 504: End.TIMED_OUT}",
+        "a failed call counts as a good one",
+    ),
+    _m(
+        "failed-as-full",
+        LEDGER,
+        ".get(status, End.FAILED)",
+        ".get(status, End.FULL)",
+        "a failed call counts as one that never ran",
+    ),
+    _m(
+        "broken-as-unreached",
+        LEDGER,
+        "self.way.call.end(End.BROKEN)  # passed",
+        "self.way.call.end(End.UNREACHED)  # passed",
+        "a call whose connection broke counts as one that never ran",
+    ),
+    _m(
+        "connections-kept",
+        LEDGER,
+        "        self.connections -= 1\n",
+        "        self.connections -= way.line is None\n",
+        "connections that ended stay counted",
+    ),
+    _m(
+        "abandon-kept",
+        LEDGER,
+        "        if self._finish():\n            self._drop()\n",
+        "        self._finish()\n",
+        "a call that nobody waits for stays out",
+    ),
+    _m(
+        "time-out-kept",
+        LEDGER,
+        "        self._drop()\n        self.end(End.TIMED_OUT",
+        "        self.end(End.TIMED_OUT",
+        "a call that timed out stays out",
+    ),
+    _m(
+        "part-of-body",
+        LEDGER,
+        "        if len(self.data) < self.need:\n",
+        "        if self.need and not self.data:\n",
+        "a reply that comes in pieces is cut short",
+    ),
+    _m(
+        "no-length",
+        LEDGER,
+        "length > BODY_MOST or (length < 0 and status >= 200)",
+        "length > BODY_MOST",
+        "a reply that tells no length counts as an empty one",
+    ),
+    _m(
+        "wait-long",
+        LEDGER,
+        "ledger.reactor.callLater(wait / 1_000_000, self.time_out)",
+        "ledger.reactor.callLater(wait / 100_000, self.time_out)",
+        "a call waits ten times as long as it tells",
+    ),
+    _m(
+        "news-lost",
+        SERVICE,
+        "            self.news.append(news)\n            return False",
+        "            return False",
+        "news that come while the handler is busy are lost",
+    ),
+    _m(
+        "cursor-before",
+        SERVICE,
+        "self.kernel.go_on(intake.ref, job.blocked.cursor)",
+        "self.kernel.go_on(intake.ref, job.blocked.cursor - 1)",
+        "a call is left out under the cursor before its own",
+    ),
+    _m(
+        "leave-untold",
+        SERVICE,
+        "        self.guarded(lambda: self.facade.leave(self.setup.stop))\n",
+        "",
+        "the brain does not hear of a drain",
+    ),
+    _m(
+        "quiet-at-once",
+        SERVICE,
+        "        busy = self.jobs or self.callers.connections or not self.shut\n",
+        "        busy = not self.shut\n",
+        "a drained instance ends with txns still open",
+    ),
+    _m(
+        "jobs-kept",
+        SERVICE,
+        "            self.jobs.pop(intake.ref, None)\n",
+        "            self.jobs.pop(intake.ref if job.call is None else '', None)\n",
+        "txns that made a call stay in the table",
+    ),
+    _m(
+        "no-gauges-no-tick",
+        SERVICE,
+        "lambda figures: self.facade.tick(self.facade.now(), figures))",
+        "lambda figures: figures and self.facade.tick(self.facade.now(), figures))",
+        "without gauges there is no tick",
+    ),
+    _m(
+        "reload-unmoved",
+        SERVICE,
+        "            self.guarded(partial(part.move, address.host, address.port))\n",
+        "            address.host\n",
+        "new addresses are logged and not taken up",
+    ),
+    _m(
+        "reload-once",
+        SERVICE,
+        "            if tries:\n                again",
+        "            if not tries:\n                again",
+        "a file that was half written is not read again",
+    ),
+    _m(
+        "no-interrupt",
+        SERVICE,
+        "            self.facade.interrupt(job.intake)\n",
+        "            pass\n",
+        "a handler that waits for a step does not hear of news",
+    ),
+    _m(
+        "no-farewell",
+        SERVICE,
+        "        self.guarded(self.callers.farewell)\n",
+        "",
+        "callers are not told of a drain",
+    ),
+    _m(
+        "other-result",
+        FACADE,
+        "result = entry.prior.result if entry.prior is not None else None",
+        "result = next(iter(self.results)).result if self.results else None",
+        "a repeat gets the oldest result of all",
+    ),
+    _m(
+        "joins-lost",
+        FACADE,
+        "        self.ready_joins += entry.joined\n",
+        "",
+        "repeats that joined a run are not ended with it",
+    ),
+    _m(
+        "no-prior",
+        FACADE,
+        "return next((entry for entry in tries if entry.txn.ran), tries[-1] if tries else None)",
+        "return None",
+        "no repeat is known as one",
+    ),
+    _m(
+        "ended-forgotten",
+        FACADE,
+        "or until > now - intake.age]",
+        "or until > now + 10**9]",
+        "a repeat of a txn that is over is not known as one",
+    ),
+    _m(
+        "end-untold",
+        FACADE,
+        "        self.brain.ended(now, entry.txn, OUTCOMES[news.end], 0)\n",
+        "        if news.end is not End.STOPPED:\n            self.brain.ended(now, entry.txn, OUTCOMES[news.end], 0)\n",
+        "the brain does not hear that a run was stopped",
+    ),
+    _m(
+        "late-wake",
+        FACADE,
+        "self._arm(max(0, decision.us - self.now()) / 1_000_000)",
+        "self._arm(max(0, decision.us - self.now() + 150_000) / 1_000_000)",
+        "the brain is woken 150 ms late",
+    ),
+    _m(
+        "cold-as-warm",
+        FACADE,
+        'self.plain["instance.cold"] = cold',
+        'self.plain["instance.cold"] = False',
+        "a cold kernel is taken for a warm one",
+    ),
+    _m(
+        "list-as-config",
+        CONFIG,
+        '    if not isinstance(value, dict):\n        raise Unusable("BALANCER_CONFIG: expected a JSON object")\n',
+        "",
+        "a configuration that is no object is not refused",
+    ),
+    _m(
+        "missing-let-through",
+        CONFIG,
+        "                if needed:\n",
+        "                if needed and not needed:\n",
+        "a missing setting is not refused",
+    ),
+    _m(
+        "half-file",
+        CONFIG,
+        '    except orjson.JSONDecodeError as trouble:\n        raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None\n',
+        "    except ZeroDivisionError:\n        raise\n",
+        "a file that is no JSON is not refused",
+    ),
+    _m(
+        "report-form",
+        NODES,
+        "f\"HERE {self.name} {'on' if on else 'off'}\"",
+        'f"HERE {self.name} {on}"',
+        "reports to the node list are of no known form",
+    ),
+    _m(
+        "grace-long",
+        BRAIN,
+        'landed > self.leave_at + self.settings.get("rules.drain_grace", 0):',
+        "landed > self.leave_at + 10**9:",
+        "what comes after the grace runs",
+    ),
+    _m(
+        "crowd-unbound",
+        BRAIN,
+        "limit, self.cap_binds = CROWD_SHARE * self._crowd(), False",
+        "limit, self.cap_binds = 4 * self._crowd(), False",
+        "runs are bounded by four times the crowd",
+    ),
+    _m(
+        "memory-of-runs",
+        BRAIN,
+        'if self._room() < txn.size_kb * (self.settings.get("instance.run_factor", 1.0) - 1):',
+        "if self._room() < 0:",
+        "a run is started without room for it",
+    ),
+    _m(
+        "memory-of-hold",
+        BRAIN,
+        "while self._room() < 0 and (ranked := self._ranked()):",
+        "while self._room() < -1e9 and (ranked := self._ranked()):",
+        "the hold is not bounded by memory",
+    ),
+    _m(
+        "due-late",
+        BRAIN,
+        "(stopping or dues[0][0] <= horizon or dues[0][2].answered)",
+        "(stopping or dues[0][0] <= self.now - 100_000 or dues[0][2].answered)",
+        "answers go out 100 ms past the due time",
+    ),
+    _m(
+        "stop-unheeded",
+        BRAIN,
+        "horizon >= self.stop_at - STOP_MARGIN",
+        "horizon >= self.stop_at + 10**9",
+        "nothing is answered for the stop",
+    ),
+    _m(
+        "call-repeated",
+        BRAIN,
+        "txn.may_repeat_call = kind.kind == INQUIRY or outcome in NEVER_RAN",
+        "txn.may_repeat_call = True",
+        "any call is made again",
+    ),
+    _m(
+        "ran-as-declined",
+        BRAIN,
+        "if kind.kind != INQUIRY and (txn.ran or",
+        "if kind.kind == INQUIRY and (txn.ran or",
+        "what ran is told as declined",
+    ),
+    _m(
+        "calls-unbound",
+        BRAIN,
+        "self.calls.in_hand(self.now) + 1 <= self.call_cap",
+        "self.calls.in_hand(self.now) + 1 <= 1_000",
+        "calls in hand are not bounded",
+    ),
+    _m(
+        "repeats-unknown",
+        BRAIN,
+        "        elif kind.kind == REFERENCED:\n            self.repeats",
+        "        elif kind.kind == ONCE_ONLY:\n            self.repeats",
+        "referenced txns are held as any other",
+    ),
+    _m(
+        "no-heir",
+        BRAIN,
+        "prior.heir, txn.prior, txn.repeat = txn, None, False",
+        "txn.prior, txn.repeat = None, False",
+        "two repeats of a dead txn both run",
+    ),
+    _m(
+        "skip-any",
+        BRAIN,
+        "if kind.skip_value > 0 and (txn.left_out < txn.approach or stuck",
+        "if (txn.left_out < txn.approach or stuck",
+        "calls are left out that may not be",
+    ),
+)
+
+
+# ---- putting one in
+
+
+class Patched(importlib.abc.MetaPathFinder, importlib.abc.Loader):
+    """Loads one module with its source changed."""
+
+    def __init__(self, mutant: Mutant) -> None:
+        self.mutant, self.path = mutant, ROOT / mutant.file
+        self.module = "limeridge." + mutant.file.removesuffix(".py").replace("/", ".")
+
+    def find_spec(
+        self, name: str, path: Sequence[str] | None, target: types.ModuleType | None = None
+    ) -> importlib.machinery.ModuleSpec | None:
+        return (
+            importlib.util.spec_from_loader(name, self, origin=str(self.path))
+            if name == self.module
+            else None
+        )
+
+    def exec_module(self, module: types.ModuleType) -> None:
+        exec(compile(changed(self.mutant), str(self.path), "exec"), module.__dict__)
+
+
+class Misplaced(Exception):
+    """The text that a mutant replaces does not stand exactly once in its file."""
+
+
+def changed(mutant: Mutant) -> str:
+    source = (ROOT / mutant.file).read_text()
+    if source.count(mutant.old) != 1:
+        raise Misplaced(
+            f"{mutant.name}: expected its text once in {mutant.file}, got it {source.count(mutant.old)} times"
+        )
+    return source.replace(mutant.old, mutant.new)
+
+
+class Hung(Exception):
+    pass
+
+
+def _hung(*_: object) -> None:
+    raise Hung
+
+
+def seek(job: tuple[Mutant, str, int, int]) -> tuple[str, int | None, str]:
+    """In a process of its own: the mutant's name, seeds until it was found, and the rule that it broke."""
+    mutant, scenario, first, most = job
+    sys.meta_path.insert(0, Patched(mutant))
+    from limeridge.sim.explore import run_seed
+
+    signal.signal(signal.SIGALRM, _hung)
+    for number in range(most):
+        signal.alarm(RUN_MOST)
+        try:
+            rule = run_seed(scenario, first + number).rule
+        except Hung:
+            rule = "hangs"
+        except Exception as trouble:
+            rule = f"raises {type(trouble).__name__}"
+        finally:
+            signal.alarm(0)
+        if rule:
+            return mutant.name, number + 1, rule
+    return mutant.name, None, ""
+
+
+def hunt(mutants: Sequence[Mutant], scenario: str, most: int, starts: int, jobs: int) -> Iterator[Row]:
+    """Rows as they are complete."""
+    for mutant in mutants:
+        changed(mutant)
+    by_name = {mutant.name: mutant for mutant in mutants}
+    work = [(mutant, scenario, start * APART, most) for mutant in mutants for start in range(starts)]
+    got: dict[str, list[tuple[int | None, str]]] = {}
+    with multiprocessing.get_context("spawn").Pool(jobs, maxtasksperchild=1) as pool:
+        for name, seeds, rule in pool.imap_unordered(seek, work):
+            results = got.setdefault(name, [])
+            results.append((seeds, rule))
+            if len(results) == starts:
+                yield row_of(by_name[name], results)
+
+
+def row_of(mutant: Mutant, results: list[tuple[int | None, str]]) -> Row:
+    counts = [float("inf") if seeds is None else float(seeds) for seeds, _ in results]
+    median = statistics.median(counts)
+    return Row(
+        mutant.name,
+        mutant.file,
+        mutant.what,
+        tuple(sorted((s for s, _ in results), key=lambda s: s or 10**9)),
+        None if median == float("inf") else median,
+        tuple(sorted({rule for _, rule in results if rule})),
+    )
+
+
+def table(rows: Sequence[Row], scenario: str, most: int, starts: int) -> str:
+    """Markdown."""
+    lines = [
+        f"Scenario `{scenario}`, {starts} starts, up to {most} seeds each.",
+        "",
+        "| defect | in | what it does | found | seeds (median) | by |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in rows:
+        found = sum(seeds is not None for seeds in row.seeds)
+        lines.append(
+            f"| {row.name} | {row.file} | {row.what} | {found} of {len(row.seeds)} | "
+            f"{'-' if row.median is None else f'{row.median:g}'} | {', '.join(row.rules)} |"
+        )
+    return "\n".join(lines) + "\n"
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -1,8 +1,8 @@
 """The rules, judged after every step from what passed on an instance's wires.
 
-It owns a book of its own of each txn, run and call, and the time limits of what is owed. It must never read an
-instance's tables or use its code: a defect there must not be able to hide itself. What a rule does not ask is not
-judged: a broken rule is a defect, never a matter of taste.
+It owns a book of its own of each txn, run and call, and the time limits of what is owed. It must never read
+an instance's tables or use its code: a defect there must not be able to hide itself. What a rule does not ask
+is not judged: a broken rule is a defect, never a matter of taste.
 """
 
 from __future__ import annotations
@@ -39,18 +39,30 @@
 MEMORY_FROM = 100 * MS  # after it was written that a held txn counts
 OPEN_MOST = 32  # txns open on a connection
 RULES = {
-    "one-answer": "exactly one final answer a txn", "due": "answered by the due time",
-    "grace": "nothing runs that arrived after the grace", "stop": "all that was read is answered before the stop",
-    "twice": "nothing that may have an effect is run twice", "call-twice": "no call is repeated that may have had one",
-    "unsaid": "a txn that ran is not told as one that never did", "result": "a result is its own txn's, unchanged",
-    "kept-back": "what ended well is answered with its result", "call-limit": "calls in hand within the own share",
-    "memory": "memory as it is booked", "crowd": "runs on the cores within what is survived",
-    "unchanged": "bodies and replies reach the other end as they came", "reply": "a reply goes to its own call",
-    "cursor": "notices are read on where they were left", "left-out": "a call is left out only where it may be",
-    "call-kept": "a good reply is used", "form": "what is written is of the protocol",
-    "exception": "no exception in any txn's path", "guard": "nothing is forgotten until the guard finds it",
-    "health": "health checks are answered", "livelock": "time goes on",
-    "heals": "after the quiet point all is served again", "left-over": "nothing is left in any table",
+    "one-answer": "exactly one final answer a txn",
+    "due": "answered by the due time",
+    "grace": "nothing runs that arrived after the grace",
+    "stop": "all that was read is answered before the stop",
+    "twice": "nothing that may have an effect is run twice",
+    "call-twice": "no call is repeated that may have had one",
+    "unsaid": "a txn that ran is not told as one that never did",
+    "result": "a result is its own txn's, unchanged",
+    "kept-back": "what ended well is answered with its result",
+    "call-limit": "calls in hand within the own share",
+    "memory": "memory as it is booked",
+    "crowd": "runs on the cores within what is survived",
+    "unchanged": "bodies and replies reach the other end as they came",
+    "reply": "a reply goes to its own call",
+    "cursor": "notices are read on where they were left",
+    "left-out": "a call is left out only where it may be",
+    "call-kept": "a good reply is used",
+    "form": "what is written is of the protocol",
+    "exception": "no exception in any txn's path",
+    "guard": "nothing is forgotten until the guard finds it",
+    "health": "health checks are answered",
+    "livelock": "time goes on",
+    "heals": "after the quiet point all is served again",
+    "left-over": "nothing is left in any table",
 }
 
 
@@ -102,8 +114,17 @@
 class Oracles:
     """The rules for one life of an instance. `note` hears of each event with its txn, for the trace."""
 
-    def __init__(self, plan: Plan, born: int, offset: Callable[[], int], paused: Callable[[], bool],
-                 note: Callable[[str, str], None], judged: Counter[str], kernel_up: int, cold: bool) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        born: int,
+        offset: Callable[[], int],
+        paused: Callable[[], bool],
+        note: Callable[[str, str], None],
+        judged: Counter[str],
+        kernel_up: int,
+        cold: bool,
+    ) -> None:
         self.plan, self.born, self.offset, self.paused, self.note = plan, born, offset, paused, note
         self.judged = judged
         self.kernel_up, self.cold = kernel_up, cold
@@ -170,7 +191,9 @@
             if self.paused() or now <= self.resumed + self.slack:
                 self._owe(case, now + self.slack)
                 continue
-            raise Broken("due", case.ask.ref, f"not answered {(now - case.due) / MS:.0f} ms past its due time")
+            raise Broken(
+                "due", case.ask.ref, f"not answered {(now - case.due) / MS:.0f} ms past its due time"
+            )
         if self.checks and not self.paused() and now > self.resumed + HEALTH_WAIT:
             first = next(iter(self.checks.items()))
             if first[1] + HEALTH_WAIT < now:
@@ -316,7 +339,9 @@
             self.note("open", "")
             self.link = command.link  # the one that is read from now on
             if command.cursor != self.cursor:
-                raise Broken("cursor", "", f"opened at {command.cursor}, the last notice read was {self.cursor}")
+                raise Broken(
+                    "cursor", "", f"opened at {command.cursor}, the last notice read was {self.cursor}"
+                )
             return
         if event in ("SYSINFO", "POST"):
             if command.ticket == "fence":
@@ -325,8 +350,14 @@
         case = self.by_ref.get(command.handle)
         if case is None:
             raise Broken("form", command.handle, f"{event} for a txn that never came")
-        ref, again = command.handle, any(said == f"{event} {command.arg} {command.cursor}"
-                                         for link, said in case.links.items() if link != command.link)
+        ref, again = (
+            command.handle,
+            any(
+                said == f"{event} {command.arg} {command.cursor}"
+                for link, said in case.links.items()
+                if link != command.link
+            ),
+        )
         if case.links.get(command.link) == f"{event} {command.arg} {command.cursor}":
             raise Broken("twice", ref, f"{event} sent twice on one link")
         case.links[command.link] = f"{event} {command.arg} {command.cursor}"
@@ -338,14 +369,19 @@
             if not again and (not case.cursor or case.reply is None):
                 raise Broken("reply", ref, "a reply was handed on, and none came for this call")
             if case.reply is not None and base64.b64decode(command.arg) != case.reply:
-                raise Broken("unchanged", ref, "a reply was handed on changed, or to another call than its own")
+                raise Broken(
+                    "unchanged", ref, "a reply was handed on changed, or to another call than its own"
+                )
             self._go_on(case)
         elif event == "NOIO":
             self.judged["left-out"] += 1
             if case.product.skip <= 0:
                 raise Broken("left-out", ref, "this product's calls may not be left out")
-            # In place of a reply that may have been lost with the link it may come later too: it names its call.
-            again = again or (command.cursor == case.asked_at and any(link != command.link for link in case.links))
+            # In place of a reply that may have been lost with the link it may come later too: it names its
+            # call.
+            again = again or (
+                command.cursor == case.asked_at and any(link != command.link for link in case.links)
+            )
             if not again and command.cursor != case.cursor:
                 raise Broken("left-out", ref, f"cursor {command.cursor}, the run waits at {case.cursor}")
             if case.reply is not None and not case.answer and not case.gone:
@@ -367,7 +403,11 @@
             self.judged["grace"] += 1
             # What stood in the backlog or a buffer arrived when it was written, not when it was read.
             if case.landed > self.left + self.plan.grace + 50 * MS and self.now - self.stepped > 3 * SECOND:
-                raise Broken("grace", ref, f"arrived {(case.landed - self.left) / MS:.0f} ms after the notice, and runs")
+                raise Broken(
+                    "grace",
+                    ref,
+                    f"arrived {(case.landed - self.left) / MS:.0f} ms after the notice, and runs",
+                )
         self._on_cores(case, True)
         self._judge_memory()
 
@@ -378,10 +418,18 @@
         self.judged["twice"] += 1
         others = self.keys.setdefault((case.ask.product, key), [])
         for other in others:
-            if other.end != "void" and case.landed < other.landed + case.product.window - 5 * MS \
-                    and max(self.now - self.stepped, 0) > 3 * SECOND and case.landed >= other.landed:
-                raise Broken("twice", case.ask.ref, f"key {key} ran already for {other.ask.ref}, "
-                             f"{(case.landed - other.landed) / MS:.0f} ms before")
+            if (
+                other.end != "void"
+                and case.landed < other.landed + case.product.window - 5 * MS
+                and max(self.now - self.stepped, 0) > 3 * SECOND
+                and case.landed >= other.landed
+            ):
+                raise Broken(
+                    "twice",
+                    case.ask.ref,
+                    f"key {key} ran already for {other.ask.ref}, "
+                    f"{(case.landed - other.landed) / MS:.0f} ms before",
+                )
         others.append(case)
 
     def _on_cores(self, case: Case, on: bool) -> None:
@@ -396,7 +444,9 @@
                 speed = min(1.0, 0.25 + 0.75 * (self.now - self.kernel_up) / (10 * SECOND))
             most = (1 + 3.0 * max(speed, 0.25)) * plan.cores
             if self.running > most:
-                raise Broken("crowd", case.ask.ref, f"{self.running} on {plan.cores} cores, {most:.1f} are survived")
+                raise Broken(
+                    "crowd", case.ask.ref, f"{self.running} on {plan.cores} cores, {most:.1f} are survived"
+                )
 
     def _judge_memory(self) -> None:
         """Held txns from a while after their landing, runs with their factor."""
@@ -408,7 +458,9 @@
         for case in self.by_ref.values():
             if case.sched >= 0 and not case.end:
                 total += case.ask.size_kb * self.plan.run_factor
-            elif case.sched < 0 and not case.answer and not case.gone and self.now - case.landed > MEMORY_FROM:
+            elif (
+                case.sched < 0 and not case.answer and not case.gone and self.now - case.landed > MEMORY_FROM
+            ):
                 total += case.ask.size_kb
         if total > self.plan.memory_kb:
             raise Broken("memory", "", f"{total:.0f} KB are booked of {self.plan.memory_kb:.0f}")
@@ -487,8 +539,15 @@
         start = self.now - self.plan.calls_over
         while self.past and self.past[0][1] <= start:
             self.past.popleft()
-        spans = [*self.past, *((out.begun, out.end if out.replied else self.now) for out in self.calls.values())]
+        spans = [
+            *self.past,
+            *((out.begun, out.end if out.replied else self.now) for out in self.calls.values()),
+        ]
         area = sum(max(0, min(end, self.now) - max(begin, start)) for begin, end in spans)
         if area > self.plan.calls_out * self.plan.calls_over:
-            raise Broken("call-limit", "", f"{area / self.plan.calls_over:.2f} calls in hand in the mean, "
-                         f"{self.plan.calls_out:.2f} are the share")
+            raise Broken(
+                "call-limit",
+                "",
+                f"{area / self.plan.calls_over:.2f} calls in hand in the mean, "
+                f"{self.plan.calls_out:.2f} are the share",
+            )
--- a/limeridge/sim/plan.py
+++ b/limeridge/sim/plan.py
@@ -1,8 +1,8 @@
 """What one seed holds: the fleet, its terms, its traffic and its faults, drawn ahead of the run.
 
 It owns the draw, its ranges and the rules that make faults legal together (each is over by the quiet point; a
-machine is not killed twice at once). It must never run anything: a plan is plain data that can be kept, cut down and
-played again.
+machine is not killed twice at once). It must never run anything: a plan is plain data that can be kept, cut
+down and played again.
 """
 
 from __future__ import annotations
@@ -53,19 +53,46 @@
     SLOW_WIRE = "slow-wire"
 
 
-AT_INSTANCE = (Kind.KILL, Kind.PAUSE, Kind.SLOW_CORES, Kind.DRAIN, Kind.RELOAD, Kind.RELOAD_BAD, Kind.RELOAD_HALF,
-               Kind.LINK_BREAK, Kind.NOTICES_DOUBLED, Kind.RUDE, Kind.CLOCK_STEP, Kind.CUT, Kind.CUT_ONE_WAY,
-               Kind.RESETS, Kind.SLOW_WIRE)
+AT_INSTANCE = (
+    Kind.KILL,
+    Kind.PAUSE,
+    Kind.SLOW_CORES,
+    Kind.DRAIN,
+    Kind.RELOAD,
+    Kind.RELOAD_BAD,
+    Kind.RELOAD_HALF,
+    Kind.LINK_BREAK,
+    Kind.NOTICES_DOUBLED,
+    Kind.RUDE,
+    Kind.CLOCK_STEP,
+    Kind.CUT,
+    Kind.CUT_ONE_WAY,
+    Kind.RESETS,
+    Kind.SLOW_WIRE,
+)
 ENDS_LIVES = (Kind.KILL, Kind.DRAIN)
-TRIGGERS = ("asked", "sched", "iodone", "noio", "open", "fence", "ioreq", "reap", "call", "reply", "answer", "revoke")
+TRIGGERS = (
+    "asked",
+    "sched",
+    "iodone",
+    "noio",
+    "open",
+    "fence",
+    "ioreq",
+    "reap",
+    "call",
+    "reply",
+    "answer",
+    "revoke",
+)
 FAR = ("kernel", "ledger", "callers", "node-list")
 RUDE_KINDS = 14
 
 
 @dataclass(slots=True, frozen=True)
 class Fault:
-    """`at` and `lasts` in microseconds from the start. With a trigger it comes `lag` after the `nth` such event of
-    its instance from `at` on, and not at all where there is none."""
+    """`at` and `lasts` in microseconds from the start. With a trigger it comes `lag` after the `nth` such
+    event of its instance from `at` on, and not at all where there is none."""
 
     kind: Kind
     at: int
@@ -146,26 +173,58 @@
         """The configuration of an instance, in the platform's form; `moved` names the other addresses."""
         last = 1 if moved else 0
         return {
-            "name": f"n{number}", "listen": f"{instance_ip(number)}:8443",
-            "kernel": f"{kernel_ip(number)}:{7300 + last}", "records": f"{LEDGER_IP}:{8900 + last}",
+            "name": f"n{number}",
+            "listen": f"{instance_ip(number)}:8443",
+            "kernel": f"{kernel_ip(number)}:{7300 + last}",
+            "records": f"{LEDGER_IP}:{8900 + last}",
             "roster": f"{NODE_LIST_IP}:{7946 + last}",
-            "seed": f"{(self.seed * 7_919 + number * 101 + life * 13) & 0xffffffffffff:x}",
-            "stop_ms": self.stop / MS, "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
+            "seed": f"{(self.seed * 7_919 + number * 101 + life * 13) & 0xFFFFFFFFFFFF:x}",
+            "stop_ms": self.stop / MS,
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
             "settings": {
-                "classes": [{"name": p.name, "aim": p.sla, "deadline": p.expiry, "idempotency": p.kind,
-                             "keyTtl": p.window, "worth": p.value} for p in self.products],
+                "classes": [
+                    {
+                        "name": p.name,
+                        "aim": p.sla,
+                        "deadline": p.expiry,
+                        "idempotency": p.kind,
+                        "keyTtl": p.window,
+                        "worth": p.value,
+                    }
+                    for p in self.products
+                ],
                 "accounts": [{"name": f"c{n}", "quotaPerS": 30.0} for n in range(self.customers)],
                 "familyInfo": {
-                    "cpus": self.cores, "classCalls": [True] * len(self.products),
-                    "classSkipWorth": [p.skip for p in self.products], "callsOut": self.calls_out,
-                    "callsOver": self.calls_over, "linger": 100 * MS, "memoryKb": self.memory_kb,
-                    "runFactor": self.run_factor, "kbPerKey": 10.0, "passesDeadline": True, "preemption": "none",
-                    "say": "weight", "callers": len(self.callers), "idle": 3_000_000, "justStarted": self.cold,
-                    "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"]},
-                "guarantees": {"drainGrace": self.grace, "overloadFactor": 4.0, "coldFrom": 0.25,
-                               "rampTime": 10_000_000, "answerSlack": 60 * MS},
-                "ceilings": {"retryAfter": True, "maxRetryAfter": 1_000_000}, "clients": {"marksRetry": True},
-                "groupSize": self.instances, "round": self.round}}
+                    "cpus": self.cores,
+                    "classCalls": [True] * len(self.products),
+                    "classSkipWorth": [p.skip for p in self.products],
+                    "callsOut": self.calls_out,
+                    "callsOver": self.calls_over,
+                    "linger": 100 * MS,
+                    "memoryKb": self.memory_kb,
+                    "runFactor": self.run_factor,
+                    "kbPerKey": 10.0,
+                    "passesDeadline": True,
+                    "preemption": "none",
+                    "say": "weight",
+                    "callers": len(self.callers),
+                    "idle": 3_000_000,
+                    "justStarted": self.cold,
+                    "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+                },
+                "guarantees": {
+                    "drainGrace": self.grace,
+                    "overloadFactor": 4.0,
+                    "coldFrom": 0.25,
+                    "rampTime": 10_000_000,
+                    "answerSlack": 60 * MS,
+                },
+                "ceilings": {"retryAfter": True, "maxRetryAfter": 1_000_000},
+                "clients": {"marksRetry": True},
+                "groupSize": self.instances,
+                "round": self.round,
+            },
+        }
 
     def size(self) -> int:
         return len(self.asks) + 10 * len(self.faults)
@@ -233,24 +292,53 @@
     chance = random.Random(f"{ranges.name}/{seed}")
     span = int(chance.uniform(*ranges.seconds) * SECOND)
     instances, cores = whole(chance, ranges.instances), whole(chance, ranges.cores)
-    callers = tuple(Caller(chance.choice((1, 3, 3, 8)), chance.random() < 0.6, chance.choice((0.0, 0.3, 1.0)),
-                           chance.choice((0.0, 0.0, 0.2))) for _ in range(whole(chance, ranges.callers)))
+    callers = tuple(
+        Caller(
+            chance.choice((1, 3, 3, 8)),
+            chance.random() < 0.6,
+            chance.choice((0.0, 0.3, 1.0)),
+            chance.choice((0.0, 0.0, 0.2)),
+        )
+        for _ in range(whole(chance, ranges.callers))
+    )
     products = tuple(draw_products(ranges, chance))
     customers = chance.choice((0, 1, 2))
     faults = tuple(draw_faults(ranges, chance, span, instances, len(callers)))
     asks = tuple(draw_asks(ranges, chance, span, products, customers, len(callers), faults))
     weather = Weather(
-        least=chance.choice((10, 50, 200)), most=chance.choice((200, 400, 2_000)), split=chance.choice((0.0, 0.1, 0.5)),
-        join=chance.choice((0.0, 0.3, 0.9)), window=chance.choice((2_048, 16_384, 65_536)),
-        lost=chance.choice((0.0, 0.02, 0.2)), doubled=chance.choice((0.0, 0.05)), backlog=chance.choice((4, 128)))
+        least=chance.choice((10, 50, 200)),
+        most=chance.choice((200, 400, 2_000)),
+        split=chance.choice((0.0, 0.1, 0.5)),
+        join=chance.choice((0.0, 0.3, 0.9)),
+        window=chance.choice((2_048, 16_384, 65_536)),
+        lost=chance.choice((0.0, 0.02, 0.2)),
+        doubled=chance.choice((0.0, 0.05)),
+        backlog=chance.choice((4, 128)),
+    )
     return Plan(
-        seed=seed, scenario=ranges.name, instances=instances, cores=cores, products=products, customers=customers,
-        callers=callers, weather=weather, asks=asks, faults=faults, quiet=span,
-        quantum=chance.choice(ranges.quanta), ties=ranges.ties, calls_out=chance.choice((2.0, 4.0, 8.0, 16.0)),
-        calls_over=chance.choice((SECOND, 2 * SECOND)), memory_kb=chance.choice((1_500.0, 5_000.0, 20_000.0)),
-        grace=whole(chance, ranges.grace_ms) * MS, stop=whole(chance, ranges.stop_ms) * MS,
-        sockets=chance.choice((64, 128, 512)), cold=chance.random() < ranges.cold,
-        round=chance.choice((0, 5 * MS)), boot=chance.choice((0, 0, 50 * MS, 300 * MS)))
+        seed=seed,
+        scenario=ranges.name,
+        instances=instances,
+        cores=cores,
+        products=products,
+        customers=customers,
+        callers=callers,
+        weather=weather,
+        asks=asks,
+        faults=faults,
+        quiet=span,
+        quantum=chance.choice(ranges.quanta),
+        ties=ranges.ties,
+        calls_out=chance.choice((2.0, 4.0, 8.0, 16.0)),
+        calls_over=chance.choice((SECOND, 2 * SECOND)),
+        memory_kb=chance.choice((1_500.0, 5_000.0, 20_000.0)),
+        grace=whole(chance, ranges.grace_ms) * MS,
+        stop=whole(chance, ranges.stop_ms) * MS,
+        sockets=chance.choice((64, 128, 512)),
+        cold=chance.random() < ranges.cold,
+        round=chance.choice((0, 5 * MS)),
+        boot=chance.choice((0, 0, 50 * MS, 300 * MS)),
+    )
 
 
 def draw_products(ranges: Ranges, chance: random.Random) -> Iterator[Product]:
@@ -267,8 +355,15 @@
         yield one("list", "free", 0, 1.0, 0.0)
 
 
-def draw_asks(ranges: Ranges, chance: random.Random, span: int, products: Sequence[Product], customers: int,
-              callers: int, faults: Sequence[Fault]) -> list[Ask]:
+def draw_asks(
+    ranges: Ranges,
+    chance: random.Random,
+    span: int,
+    products: Sequence[Product],
+    customers: int,
+    callers: int,
+    faults: Sequence[Fault],
+) -> list[Ask]:
     """Arrivals: an even stream, bursts, and what a jump of the traffic adds."""
     count = whole(chance, ranges.txns)
     times = [int(chance.uniform(100 * MS, span)) for _ in range(count)]
@@ -284,17 +379,30 @@
     for at in sorted(times):
         number = chance.choices(range(len(products)), [weights[p.kind] for p in products])[0]
         product = products[number]
-        patience = product.expiry // MS if chance.random() < 0.7 else int(
-            spread(chance, (50, product.expiry / MS)))
-        asks.append(Ask(
-            at, whole(chance, (0, callers - 1)), number, whole(chance, (0, max(0, customers - 1))) if customers else -1,
-            f"k{whole(chance, (0, keys))}" if product.kind == "guarded" else "",
-            round(spread(chance, (2, 60)), 1), patience, int(spread(chance, ranges.work_ms) * MS),
-            whole(chance, ranges.calls), int(spread(chance, ranges.op_ms) * MS), chance.random() < 0.5))
+        patience = (
+            product.expiry // MS if chance.random() < 0.7 else int(spread(chance, (50, product.expiry / MS)))
+        )
+        asks.append(
+            Ask(
+                at,
+                whole(chance, (0, callers - 1)),
+                number,
+                whole(chance, (0, max(0, customers - 1))) if customers else -1,
+                f"k{whole(chance, (0, keys))}" if product.kind == "guarded" else "",
+                round(spread(chance, (2, 60)), 1),
+                patience,
+                int(spread(chance, ranges.work_ms) * MS),
+                whole(chance, ranges.calls),
+                int(spread(chance, ranges.op_ms) * MS),
+                chance.random() < 0.5,
+            )
+        )
     return asks
 
 
-def draw_faults(ranges: Ranges, chance: random.Random, span: int, instances: int, callers: int) -> list[Fault]:
+def draw_faults(
+    ranges: Ranges, chance: random.Random, span: int, instances: int, callers: int
+) -> list[Fault]:
     """The scripted ones, and as many drawn ones as fit; one instance is not ended twice."""
     faults = list(ranges.scripted)
     ended = {fault.target for fault in faults if fault.kind in ENDS_LIVES}
@@ -314,22 +422,41 @@
     lasts = int(spread(chance, (20 * MS, 0.6 * span)))
     trigger = chance.choice(TRIGGERS) if kind in AT_INSTANCE and chance.random() < ranges.triggered else ""
     amounts: dict[Kind, Range] = {
-        Kind.SLOW_CORES: (0.05, 0.6), Kind.LEDGER_SLOW: (2, 30), Kind.LEDGER_FULL: (0.05, 1.0),
-        Kind.LEDGER_FAILS: (0.05, 1.0), Kind.LEDGER_LOSES: (0.05, 1.0), Kind.LEDGER_SPOILS: (0.05, 1.0),
-        Kind.LEDGER_DOUBLES: (0.1, 1.0), Kind.NOTICES_DOUBLED: (0.1, 1.0), Kind.JUMP: (20, 120),
-        Kind.RUDE: (1, 12), Kind.RESETS: (1, 6), Kind.SLOW_WIRE: (1_000, 200_000), Kind.KILL: (0.05, 0.8)}
+        Kind.SLOW_CORES: (0.05, 0.6),
+        Kind.LEDGER_SLOW: (2, 30),
+        Kind.LEDGER_FULL: (0.05, 1.0),
+        Kind.LEDGER_FAILS: (0.05, 1.0),
+        Kind.LEDGER_LOSES: (0.05, 1.0),
+        Kind.LEDGER_SPOILS: (0.05, 1.0),
+        Kind.LEDGER_DOUBLES: (0.1, 1.0),
+        Kind.NOTICES_DOUBLED: (0.1, 1.0),
+        Kind.JUMP: (20, 120),
+        Kind.RUDE: (1, 12),
+        Kind.RESETS: (1, 6),
+        Kind.SLOW_WIRE: (1_000, 200_000),
+        Kind.KILL: (0.05, 0.8),
+    }
     amount = spread(chance, amounts[kind]) if kind in amounts else 0.0
     if kind is Kind.CLOCK_STEP:
         amount = chance.choice((-1, 1)) * spread(chance, (0.005, 3_600))
     if kind is Kind.RUDE:
         amount = whole(chance, amounts[kind]) * RUDE_KINDS + whole(chance, (0, RUDE_KINDS - 1))
-    return Fault(kind, at, lasts, target, amount, chance.choice(FAR) if kind in (Kind.CUT, Kind.CUT_ONE_WAY) else "",
-                 trigger, whole(chance, (1, 6)) if trigger else 1,
-                 chance.choice((0, 0, 100, 400, 1_000, 20_000)) if trigger else 0)
+    return Fault(
+        kind,
+        at,
+        lasts,
+        target,
+        amount,
+        chance.choice(FAR) if kind in (Kind.CUT, Kind.CUT_ONE_WAY) else "",
+        trigger,
+        whole(chance, (1, 6)) if trigger else 1,
+        chance.choice((0, 0, 100, 400, 1_000, 20_000)) if trigger else 0,
+    )
 
 
 # ---- what was met
 
+
 def pairs_met(plan: Plan, came: Sequence[tuple[Kind, int, int]]) -> set[tuple[str, str]]:
     """Pairs of kinds whose spans overlapped in a run, a second of after-effects counted in."""
     met = set()
@@ -341,6 +468,7 @@
 
 # ---- kept as text, for the corpus and for shrunk cases
 
+
 def to_json(plan: Plan) -> bytes:
     return orjson.dumps(plan, option=orjson.OPT_INDENT_2, default=lambda each: each.value)
 
@@ -348,21 +476,26 @@
 def from_json(data: bytes) -> Plan:
     """ValueError, KeyError or TypeError where it is no plan."""
     value = orjson.loads(data)
-    return Plan(**value | {
-        "products": tuple(Product(**each) for each in value["products"]),
-        "callers": tuple(Caller(**each) for each in value["callers"]),
-        "weather": Weather(**value["weather"]),
-        "asks": tuple(Ask(**each) for each in value["asks"]),
-        "faults": tuple(Fault(**each | {"kind": Kind(each["kind"])}) for each in value["faults"]),
-        "ties": Ties(value["ties"])})
+    return Plan(
+        **value
+        | {
+            "products": tuple(Product(**each) for each in value["products"]),
+            "callers": tuple(Caller(**each) for each in value["callers"]),
+            "weather": Weather(**value["weather"]),
+            "asks": tuple(Ask(**each) for each in value["asks"]),
+            "faults": tuple(Fault(**each | {"kind": Kind(each["kind"])}) for each in value["faults"]),
+            "ties": Ties(value["ties"]),
+        }
+    )
 
 
 # ---- smaller plans, for shrinking
 
+
 @dataclass(slots=True)
 class Shrinker:
-    """Proposes smaller plans, largest cuts first, and learns which of them still fail: a delta search over faults,
-    txns, instances and time. `next` gives a plan to try, `tell` how it went."""
+    """Proposes smaller plans, largest cuts first, and learns which of them still fail: a delta search over
+    faults, txns, instances and time. `next` gives a plan to try, `tell` how it went."""
 
     best: Plan
     broken_at: int  # microseconds from the start at which the rule broke
@@ -373,24 +506,37 @@
         """In one round; begin again from the new best after each that still fails."""
         plan = self.best
         late = self.broken_at + 1
-        yield replace(plan, quiet=min(plan.quiet, late), asks=tuple(a for a in plan.asks if a.at <= late),
-                      faults=tuple(f for f in plan.faults if f.at <= late))
+        yield replace(
+            plan,
+            quiet=min(plan.quiet, late),
+            asks=tuple(a for a in plan.asks if a.at <= late),
+            faults=tuple(f for f in plan.faults if f.at <= late),
+        )
         for part in self._parts(len(plan.faults)):
             yield replace(plan, faults=without(plan.faults, part))
         for part in self._parts(len(plan.asks)):
             yield replace(plan, asks=without(plan.asks, part))
         for number in range(plan.instances - 1, 0, -1):
-            yield replace(plan, instances=number, faults=tuple(
-                f for f in plan.faults if f.kind not in AT_INSTANCE or f.target < number))
+            yield replace(
+                plan,
+                instances=number,
+                faults=tuple(f for f in plan.faults if f.kind not in AT_INSTANCE or f.target < number),
+            )
         if len(plan.callers) > 1:
-            yield replace(plan, callers=plan.callers[:1], asks=tuple(replace(a, caller=0) for a in plan.asks),
-                          faults=tuple(replace(f, target=0) if f.kind is Kind.CALLER_RESTART else f for f in plan.faults))
+            yield replace(
+                plan,
+                callers=plan.callers[:1],
+                asks=tuple(replace(a, caller=0) for a in plan.asks),
+                faults=tuple(
+                    replace(f, target=0) if f.kind is Kind.CALLER_RESTART else f for f in plan.faults
+                ),
+            )
         calm = replace(plan.weather, split=0.0, join=0.0, lost=0.0, doubled=0.0, late=0.0)
         yield replace(plan, weather=calm)
         for number, fault in enumerate(plan.faults):
             if fault.lasts > 20 * MS:
                 shorter = replace(fault, lasts=fault.lasts // 2)
-                yield replace(plan, faults=(*plan.faults[:number], shorter, *plan.faults[number + 1:]))
+                yield replace(plan, faults=(*plan.faults[:number], shorter, *plan.faults[number + 1 :]))
 
     @staticmethod
     def _parts(count: int) -> Iterator[slice]:
--- a/limeridge/sim/reactor.py
+++ b/limeridge/sim/reactor.py
@@ -1,8 +1,8 @@
 """The parts of Twisted's reactor that limeridge uses, on virtual time: timers, TCP, UDP, calls from threads.
 
-It owns transports, ports and connectors with the manners of the real ones (writes go out a turn later, an abort
-loses them, unread input makes a close a reset, a full buffer pauses its producer). It must never decide how the
-network behaves (links.py does) nor read a real clock. What it lacks is refused with its name.
+It owns transports, ports and connectors with the manners of the real ones (writes go out a turn later, an
+abort loses them, unread input makes a close a reset, a full buffer pauses its producer). It must never decide
+how the network behaves (links.py does) nor read a real clock. What it lacks is refused with its name.
 """
 
 from __future__ import annotations
@@ -34,7 +34,9 @@
 class Timer(Held):
     """IDelayedCall."""
 
-    def __init__(self, reactor: Reactor, when: int, call: Callable[..., object], args: Any, more: Any) -> None:
+    def __init__(
+        self, reactor: Reactor, when: int, call: Callable[..., object], args: Any, more: Any
+    ) -> None:
         self.reactor, self.when, self.call, self.args, self.more = reactor, when, call, args, more
         self.called = self.cancelled = False
         self.event = reactor.timeline.at(when, reactor.life, "timer", self.run, self)
@@ -86,7 +88,18 @@
 class Flow:
     """One direction of a connection: what its writer has not sent, what is in the air, what is not read."""
 
-    __slots__ = ("air", "arriving", "broken", "buffer", "ended", "inbox", "last", "network", "source", "target")
+    __slots__ = (
+        "air",
+        "arriving",
+        "broken",
+        "buffer",
+        "ended",
+        "inbox",
+        "last",
+        "network",
+        "source",
+        "target",
+    )
 
     def __init__(self, network: Network) -> None:
         self.network = network
@@ -130,7 +143,9 @@
     def _await(self, again: int = 0) -> None:
         if self.air and not self.arriving:
             self.arriving = True
-            self.network.timeline.at(max(self.air[0][0], again), self.target.life, "arrive", self.arrive, wire=True)
+            self.network.timeline.at(
+                max(self.air[0][0], again), self.target.life, "arrive", self.arrive, wire=True
+            )
 
     def arrive(self) -> None:
         self.arriving = False
@@ -394,7 +409,9 @@
 
     def arrived(self, socket: Socket) -> None:
         self.backlog.append(socket)
-        self.reactor.timeline.at(self.reactor.timeline.now, self.reactor.life, "accept", self.accept, wire=True)
+        self.reactor.timeline.at(
+            self.reactor.timeline.now, self.reactor.life, "accept", self.accept, wire=True
+        )
 
     def accept(self) -> None:
         if self.open and self.backlog:
@@ -423,7 +440,8 @@
             self.close()
             self.factory.doStop()
 
-    loseConnection = stopListening
+    def loseConnection(self) -> None:
+        self.stopListening()
 
     def close(self) -> None:
         self.open = False
@@ -443,7 +461,9 @@
 class Connector:
     """A connection on its way to be made, IConnector."""
 
-    def __init__(self, reactor: Reactor, target: tuple[str, int], factory: Any, time_out: float | None) -> None:
+    def __init__(
+        self, reactor: Reactor, target: tuple[str, int], factory: Any, time_out: float | None
+    ) -> None:
         self.reactor, self.target, self.factory = reactor, target, factory
         self.state = "connecting"
         self.socket: Socket | None = None
@@ -468,14 +488,22 @@
         reactor, network = self.reactor, self.reactor.network
         if self.state != "connecting" or not reactor.life.alive:
             return
-        if network.links.cut(reactor.life.ip, self.target[0]) or network.links.cut(self.target[0], reactor.life.ip):
+        if network.links.cut(reactor.life.ip, self.target[0]) or network.links.cut(
+            self.target[0], reactor.life.ip
+        ):
             self._send(self._syn, SYN_AGAIN)
             return
         port = network.listeners.get(self.target)
         if port is None:
             delay = network.links.delay(self.target[0], reactor.life.ip)
-            network.timeline.at(network.timeline.now + delay, reactor.life, "refused", self.fail,
-                                error.ConnectionRefusedError(), wire=True)
+            network.timeline.at(
+                network.timeline.now + delay,
+                reactor.life,
+                "refused",
+                self.fail,
+                error.ConnectionRefusedError(),
+                wire=True,
+            )
             return
         if port.full():
             self._send(self._syn, SYN_AGAIN)
@@ -561,14 +589,22 @@
             raise NotImplementedError("the virtual datagram port is never connected")
         network = self.reactor.network
         for delay in network.links.datagram(self.reactor.life.ip, address[0]):
-            network.timeline.at(network.timeline.now + delay, None, "datagram", self._arrive, data, address,
-                                wire=True)
+            network.timeline.at(
+                network.timeline.now + delay, None, "datagram", self._arrive, data, address, wire=True
+            )
 
     def _arrive(self, data: bytes, address: tuple[str, int]) -> None:
         port = self.reactor.network.datagrams.get(address)
         if port is not None:
-            port.reactor.timeline.at(port.reactor.timeline.now, port.reactor.life, "heard",
-                                     port.protocol.datagramReceived, data, self.address, wire=True)
+            port.reactor.timeline.at(
+                port.reactor.timeline.now,
+                port.reactor.life,
+                "heard",
+                port.protocol.datagramReceived,
+                data,
+                self.address,
+                wire=True,
+            )
 
     def stopListening(self) -> None:
         if self.reactor.network.datagrams.get(self.address) is self:
@@ -581,9 +617,21 @@
 class Reactor:
     """The reactor of one process's life."""
 
-    def __init__(self, network: Network, life: Life, fault: Callable[[Failure], None], tap: Tap | None = None,
-                 most_descriptors: int = 100_000) -> None:
-        self.network, self.timeline, self.life, self.fault, self.tap = network, network.timeline, life, fault, tap
+    def __init__(
+        self,
+        network: Network,
+        life: Life,
+        fault: Callable[[Failure], None],
+        tap: Tap | None = None,
+        most_descriptors: int = 100_000,
+    ) -> None:
+        self.network, self.timeline, self.life, self.fault, self.tap = (
+            network,
+            network.timeline,
+            life,
+            fault,
+            tap,
+        )
         self.most_descriptors = most_descriptors
         self.sockets: dict[int, Socket] = {}
         self.ports: list[Port] = []
@@ -608,7 +656,8 @@
     def callLater(self, delay: float, call: Callable[..., object], *args: Any, **more: Any) -> Timer:
         if not delay >= 0:
             raise AssertionError(f"{delay} is not greater than or equal to 0 seconds")
-        # Time goes on for whoever asks for some, however little: what rounds to nothing would hold the clock for ever.
+        # Time goes on for whoever asks for some, however little: what rounds to nothing would hold the clock
+        # for ever.
         wait = round(delay * SECOND) or int(delay > 0)
         return Timer(self, self.timeline.now + wait, call, args, more)
 
@@ -632,8 +681,9 @@
         factory.doStart()
         return made
 
-    def connectTCP(self, host: str, port: int, factory: Any, timeout: float | None = 30,
-                   bindAddress: object = None) -> Connector:
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float | None = 30, bindAddress: object = None
+    ) -> Connector:
         return Connector(self, (host, port), factory, timeout)
 
     def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8_192) -> UdpPort:
@@ -663,7 +713,9 @@
         self.life.alive = False
 
     def __getattr__(self, name: str) -> Any:
-        raise AttributeError(f"the virtual reactor has no {name}: add it to limeridge.sim.reactor before it is used")
+        raise AttributeError(
+            f"the virtual reactor has no {name}: add it to limeridge.sim.reactor before it is used"
+        )
 
 
 def carry_out(event: Event, fault: Callable[[Life | None, Failure], None]) -> None:
--- a/limeridge/sim/scenario.py
+++ b/limeridge/sim/scenario.py
@@ -16,14 +16,35 @@
 USUAL = Ranges()
 FOLDER = Path(__file__).parent / "scenarios"
 LIMITS: dict[str, tuple[float, float]] = {
-    "instances": (1, 20), "cores": (1, 64), "callers": (1, 50), "seconds": (0.2, 600), "txns": (0, 100_000),
-    "work_ms": (0.1, 10_000), "op_ms": (0.1, 10_000), "calls": (0, 8), "faults": (0, 50),
-    "expiry_ms": (50, 60_000), "stop_ms": (200, 60_000), "grace_ms": (0, 60_000)}
+    "instances": (1, 20),
+    "cores": (1, 64),
+    "callers": (1, 50),
+    "seconds": (0.2, 600),
+    "txns": (0, 100_000),
+    "work_ms": (0.1, 10_000),
+    "op_ms": (0.1, 10_000),
+    "calls": (0, 8),
+    "faults": (0, 50),
+    "expiry_ms": (50, 60_000),
+    "stop_ms": (200, 60_000),
+    "grace_ms": (0, 60_000),
+}
 AMOUNTS: dict[Kind, tuple[float, float]] = {
-    Kind.KILL: (0, 60), Kind.SLOW_CORES: (0.001, 1), Kind.LEDGER_SLOW: (0.01, 1_000), Kind.LEDGER_FULL: (0, 1),
-    Kind.LEDGER_FAILS: (0, 1), Kind.LEDGER_LOSES: (0, 1), Kind.LEDGER_SPOILS: (0, 1), Kind.LEDGER_DOUBLES: (0, 1),
-    Kind.NOTICES_DOUBLED: (0, 1), Kind.JUMP: (0, 10_000), Kind.RUDE: (0, 1_000 * RUDE_KINDS),
-    Kind.RESETS: (1, 10_000), Kind.SLOW_WIRE: (0, 10_000_000), Kind.CLOCK_STEP: (-1e8, 1e8)}
+    Kind.KILL: (0, 60),
+    Kind.SLOW_CORES: (0.001, 1),
+    Kind.LEDGER_SLOW: (0.01, 1_000),
+    Kind.LEDGER_FULL: (0, 1),
+    Kind.LEDGER_FAILS: (0, 1),
+    Kind.LEDGER_LOSES: (0, 1),
+    Kind.LEDGER_SPOILS: (0, 1),
+    Kind.LEDGER_DOUBLES: (0, 1),
+    Kind.NOTICES_DOUBLED: (0, 1),
+    Kind.JUMP: (0, 10_000),
+    Kind.RUDE: (0, 1_000 * RUDE_KINDS),
+    Kind.RESETS: (1, 10_000),
+    Kind.SLOW_WIRE: (0, 10_000_000),
+    Kind.CLOCK_STEP: (-1e8, 1e8),
+}
 
 
 def check(message: pb.Scenario, checked: Checked) -> None:
@@ -63,27 +84,44 @@
     if fault.trigger and fault.trigger not in TRIGGERS:
         raise checked.refuse(f"{path}.trigger", f"expected one of {', '.join(TRIGGERS)}")
     if fault.trigger and kind not in AT_INSTANCE:
-        raise checked.refuse(f"{path}.trigger", f"{kind.value} is at no instance and can't wait for its events")
+        raise checked.refuse(
+            f"{path}.trigger", f"{kind.value} is at no instance and can't wait for its events"
+        )
 
 
 def ranges_of(message: pb.Scenario) -> Ranges:
     def within(name: str) -> Range:
         if not message.HasField(name):
-            return getattr(USUAL, name)  # type: ignore[no-any-return]
+            return getattr(USUAL, name)
         given = getattr(message, name)
         return given.least, given.most
 
     return Ranges(
-        name=message.name, **{name: within(name) for name in LIMITS},  # type: ignore[arg-type]
+        name=message.name,
+        **{name: within(name) for name in LIMITS},  # type: ignore[arg-type]
         kinds=tuple(Kind[pb.FaultKind.Name(kind)] for kind in message.kinds) or USUAL.kinds,
         scripted=tuple(fault_of(fault) for fault in message.fault),
-        quanta=tuple(message.quantum_us) or USUAL.quanta, ties=Ties(message.ties),
-        triggered=message.triggered, cold=message.cold, referenced=message.referenced, once_only=message.once_only)
+        quanta=tuple(message.quantum_us) or USUAL.quanta,
+        ties=Ties(message.ties),
+        triggered=message.triggered,
+        cold=message.cold,
+        referenced=message.referenced,
+        once_only=message.once_only,
+    )
 
 
 def fault_of(fault: pb.Fault) -> Fault:
-    return Fault(Kind[pb.FaultKind.Name(fault.kind)], int(fault.at_ms * MS), int(fault.lasts_ms * MS), fault.target,
-                 fault.amount, fault.far, fault.trigger, fault.nth or 1, int(fault.lag_ms * MS))
+    return Fault(
+        Kind[pb.FaultKind.Name(fault.kind)],
+        int(fault.at_ms * MS),
+        int(fault.lasts_ms * MS),
+        fault.target,
+        fault.amount,
+        fault.far,
+        fault.trigger,
+        fault.nth or 1,
+        int(fault.lag_ms * MS),
+    )
 
 
 @cache
--- a/limeridge/sim/timeline.py
+++ b/limeridge/sim/timeline.py
@@ -1,7 +1,7 @@
 """Virtual time: what happens next, and in which order what falls on one tick happens.
 
-It owns the queue of events, the clock in whole microseconds and the draw that orders a tick. It must never know
-what an event does, and never read a real clock: the same seed gives the same order on any machine.
+It owns the queue of events, the clock in whole microseconds and the draw that orders a tick. It must never
+know what an event does, and never read a real clock: the same seed gives the same order on any machine.
 """
 
 from __future__ import annotations
@@ -42,15 +42,29 @@
 
     __slots__ = ("args", "call", "dead", "label", "life", "when", "wire")
 
-    def __init__(self, when: int, life: Life | None, label: str, wire: bool, call: Callable[..., object],
-                 args: tuple[Any, ...]) -> None:
-        self.when, self.life, self.label, self.wire, self.call, self.args = when, life, label, wire, call, args
+    def __init__(
+        self,
+        when: int,
+        life: Life | None,
+        label: str,
+        wire: bool,
+        call: Callable[..., object],
+        args: tuple[Any, ...],
+    ) -> None:
+        self.when, self.life, self.label, self.wire, self.call, self.args = (
+            when,
+            life,
+            label,
+            wire,
+            call,
+            args,
+        )
         self.dead = False
 
 
 class Timeline:
-    """The queue. `quantum` is the grid in microseconds that all times are rounded up to: the coarser it is, the
-    more often a reply and an expiry fall on the same tick."""
+    """The queue. `quantum` is the grid in microseconds that all times are rounded up to: the coarser it is,
+    the more often a reply and an expiry fall on the same tick."""
 
     def __init__(self, chance: random.Random, quantum: int = 1, ties: Ties = Ties.DRAWN) -> None:
         self.chance, self.quantum, self.ties = chance, quantum, ties
@@ -60,8 +74,15 @@
         self.steps = 0
         self.on_tick = 0  # steps since time last moved
 
-    def at(self, when: int, life: Life | None, label: str, call: Callable[..., object], *args: Any,
-           wire: bool = False) -> Event:
+    def at(
+        self,
+        when: int,
+        life: Life | None,
+        label: str,
+        call: Callable[..., object],
+        *args: Any,
+        wire: bool = False,
+    ) -> Event:
         """What is due at once keeps its process's order, as with a real reactor; all else is drawn."""
         soon = when <= self.now
         if soon:
@@ -81,7 +102,8 @@
         return event
 
     def step(self, until: int) -> Event | None:
-        """The next event that is to be carried out by `until`, the clock moved to it; None if there is none."""
+        """The next event that is to be carried out by `until`, the clock moved to it; None if there is
+        none."""
         queue = self.queue
         while queue and queue[0][0] <= until:
             when, _, _, event = heapq.heappop(queue)
--- a/limeridge/sim/trace.py
+++ b/limeridge/sim/trace.py
@@ -35,7 +35,9 @@
     def __init__(self, path: Path, head: dict[str, Any]) -> None:
         self.raw = path.open("wb")
         self.out = zstandard.ZstdCompressor(level=6).stream_writer(self.raw)
-        self.out.write(orjson.dumps({"limeridge": "trace", "version": 1} | head, option=orjson.OPT_APPEND_NEWLINE))
+        self.out.write(
+            orjson.dumps({"limeridge": "trace", "version": 1} | head, option=orjson.OPT_APPEND_NEWLINE)
+        )
 
     def record(self, step: int, at: int, who: str, kind: str, ref: str) -> None:
         self.out.write(orjson.dumps([step, at, who, kind, ref], option=orjson.OPT_APPEND_NEWLINE))
@@ -43,14 +45,15 @@
     def __enter__(self) -> Writer:
         return self
 
-    def __exit__(self, kind: type[BaseException] | None, trouble: BaseException | None,
-                 trace: TracebackType | None) -> None:
-        self.out.close()
+    def __exit__(
+        self, kind: type[BaseException] | None, trouble: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.out.close()  # type: ignore[no-untyped-call]
         self.raw.close()
 
 
 def read_head(path: Path) -> dict[str, Any]:
-    return next(_lines(path))  # type: ignore[no-any-return]
+    return next(_lines(path))
 
 
 def entries(path: Path) -> Iterator[Entry]:
--- a/limeridge/sim/wires.py
+++ b/limeridge/sim/wires.py
@@ -1,7 +1,7 @@
 """What passes on an instance's wires, as typed events: read off the bytes that it reads and writes.
 
-It owns parsers of its own, apart from the instance's and from the stand-ins'. It must never ask an instance anything,
-and never judge: oracles.py does.
+It owns parsers of its own, apart from the instance's and from the stand-ins'. It must never ask an instance
+anything, and never judge: oracles.py does.
 """
 
 from __future__ import annotations
@@ -137,8 +137,23 @@
     data: bytes
 
 
-Passed = (Asked | Odd | Revoked | Checked | Answered | Farewell | LineEnded | Command | Notice | LinkMade | LinkEnded
-          | CallMade | Replied | CallEnded | Garbled)
+Passed = (
+    Asked
+    | Odd
+    | Revoked
+    | Checked
+    | Answered
+    | Farewell
+    | LineEnded
+    | Command
+    | Notice
+    | LinkMade
+    | LinkEnded
+    | CallMade
+    | Replied
+    | CallEnded
+    | Garbled
+)
 
 TICKETS = ("SYSINFO", "POST", "INFO", "POSTED")
 
@@ -157,8 +172,13 @@
 class Recorder:
     """The tap of one instance's life. `tell` gets each event as it passes."""
 
-    def __init__(self, products: frozenset[str], kernel: frozenset[tuple[str, int]],
-                 ledger: frozenset[tuple[str, int]], tell: Callable[[Passed], None]) -> None:
+    def __init__(
+        self,
+        products: frozenset[str],
+        kernel: frozenset[tuple[str, int]],
+        ledger: frozenset[tuple[str, int]],
+        tell: Callable[[Passed], None],
+    ) -> None:
         self.products, self.kernel, self.ledger, self.tell = products, kernel, ledger, tell
         self.wires: dict[int, Wire] = {}
 
@@ -166,7 +186,15 @@
 
     def made(self, socket: Socket, accepted: bool) -> None:
         peer = (socket.peer[0], socket.peer[1])
-        role = "caller" if accepted else "kernel" if peer in self.kernel else "ledger" if peer in self.ledger else "?"
+        role = (
+            "caller"
+            if accepted
+            else "kernel"
+            if peer in self.kernel
+            else "ledger"
+            if peer in self.ledger
+            else "?"
+        )
         self.wires[socket.serial] = Wire(role, socket.serial)
         if role == "kernel":
             self.tell(LinkMade(socket.serial))
@@ -241,8 +269,20 @@
                 self.tell(Checked(wire.serial, value["id"]))
             elif method in self.products and value["id"] >= 1 and len(params["i"]) == 16:
                 base64.b64decode(params["doc"], validate=True)
-                self.tell(Asked(wire.serial, value["id"], params["i"], method, params.get("t", ""), params.get("k", ""),
-                                int(params["s"]), float(params.get("d", 0)), float(params["m"]), params["doc"]))
+                self.tell(
+                    Asked(
+                        wire.serial,
+                        value["id"],
+                        params["i"],
+                        method,
+                        params.get("t", ""),
+                        params.get("k", ""),
+                        int(params["s"]),
+                        float(params.get("d", 0)),
+                        float(params["m"]),
+                        params["doc"],
+                    )
+                )
             else:
                 raise ValueError
         except (ValueError, KeyError, TypeError, AttributeError, binascii.Error):
@@ -273,12 +313,30 @@
                 raise ValueError
             if result is not None:
                 kind = "health" if "ready" in result else "settled"
-                self.tell(Answered(wire.serial, value["id"], kind, result.get("doc", ""), 0.0,
-                                   result.get("ready") is True, result.get("v")))
+                self.tell(
+                    Answered(
+                        wire.serial,
+                        value["id"],
+                        kind,
+                        result.get("doc", ""),
+                        0.0,
+                        result.get("ready") is True,
+                        result.get("v"),
+                    )
+                )
                 return
             data = error.get("data") or {}
-            self.tell(Answered(wire.serial, value["id"], "declined" if error["code"] == -32008 else "voided", "",
-                               float(data.get("w", 0.0)), False, data.get("v")))
+            self.tell(
+                Answered(
+                    wire.serial,
+                    value["id"],
+                    "declined" if error["code"] == -32008 else "voided",
+                    "",
+                    float(data.get("w", 0.0)),
+                    False,
+                    data.get("v"),
+                )
+            )
         except (ValueError, KeyError, TypeError, AttributeError):
             self.tell(Garbled("caller", body[:80]))
 
@@ -287,15 +345,33 @@
     def _command(self, wire: Wire, line: bytes) -> None:
         try:
             value = orjson.loads(line)
-            self.tell(Command(wire.serial, value["event"], value.get("handle", ""), value.get("entry", ""),
-                              value.get("arg", ""), value.get("cursor", -1), value.get("ticket", "")))
+            self.tell(
+                Command(
+                    wire.serial,
+                    value["event"],
+                    value.get("handle", ""),
+                    value.get("entry", ""),
+                    value.get("arg", ""),
+                    value.get("cursor", -1),
+                    value.get("ticket", ""),
+                )
+            )
         except (ValueError, KeyError, TypeError):
             self.tell(Garbled("kernel", line[:80]))
 
     def _notice(self, wire: Wire, line: bytes) -> None:
         value: dict[str, Any] = orjson.loads(line)
-        self.tell(Notice(wire.serial, value["event"], value.get("cursor", 0), value.get("handle", ""),
-                         value.get("fate", ""), value.get("arg", ""), value.get("ticket", "")))
+        self.tell(
+            Notice(
+                wire.serial,
+                value["event"],
+                value.get("cursor", 0),
+                value.get("handle", ""),
+                value.get("fate", ""),
+                value.get("arg", ""),
+                value.get("ticket", ""),
+            )
+        )
 
     # ---- the ledger
 
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -1,7 +1,7 @@
 """A world: machines with instances and kernels, a ledger, a node list and callers on one virtual time.
 
-It owns the carrying out of a plan: lives begun and ended, faults begun and healed, oracles fed after every step, and
-the digest. It must never decide what happens (the plan does) nor judge (the oracles do).
+It owns the carrying out of a plan: lives begun and ended, faults begun and healed, oracles fed after every
+step, and the digest. It must never decide what happens (the plan does) nor judge (the oracles do).
 """
 
 from __future__ import annotations
@@ -116,9 +116,18 @@
         kernel_life = self.kernel_life = Life(f"k{self.number}", kernel_ip(self.number), self.lives, now)
         self.kernel_reactor = Reactor(world.network, kernel_life, world.broken_standin)
         boot = plan.boot / SECOND
-        self.kernel = Kernel(self.kernel_reactor, plan.cores, world.chance(f"kernel {self.number} {self.lives}"),
-                             world.over.__contains__, boot=boot, cold=cold, memory_kb=plan.memory_kb)
-        self.kernel.misled = lambda ref: self.broke(Broken("reply", ref, "the kernel took a reply for another call"))
+        self.kernel = Kernel(
+            self.kernel_reactor,
+            plan.cores,
+            world.chance(f"kernel {self.number} {self.lives}"),
+            world.over.__contains__,
+            boot=boot,
+            cold=cold,
+            memory_kb=plan.memory_kb,
+        )
+        self.kernel.misled = lambda ref: self.broke(
+            Broken("reply", ref, "the kernel took a reply for another call")
+        )
         self.kernel.speed, self.kernel.doubled = self.speed, self.doubled
         for port in (7300, 7301):
             self.kernel_reactor.listenTCP(port, self.kernel)
@@ -127,11 +136,22 @@
         config["seed"] = plan.config(self.number, life=self.lives)["seed"]
         self.file = orjson.dumps(config)
         self.life = Life(self.name, instance_ip(self.number), self.lives, now)
-        self.oracles = Oracles(plan, now, lambda: UNIX + self.offset, lambda: bool(self.paused), self.note,
-                               world.judged, now + plan.boot, cold)
-        tap = Recorder(frozenset(product.name for product in plan.products),
-                       frozenset((kernel_ip(self.number), port) for port in (7300, 7301)),
-                       frozenset((LEDGER_IP, port) for port in (8900, 8901)), self.see)
+        self.oracles = Oracles(
+            plan,
+            now,
+            lambda: UNIX + self.offset,
+            lambda: bool(self.paused),
+            self.note,
+            world.judged,
+            now + plan.boot,
+            cold,
+        )
+        tap = Recorder(
+            frozenset(product.name for product in plan.products),
+            frozenset((kernel_ip(self.number), port) for port in (7300, 7301)),
+            frozenset((LEDGER_IP, port) for port in (8900, 8901)),
+            self.see,
+        )
         self.reactor = Reactor(world.network, self.life, self.fault, tap, plan.sockets)
         self.reactor.stopped = self.exited
         log = Log(self.name, clock=self.reactor.seconds, unix=self.unix, write=self.logged)
@@ -193,12 +213,21 @@
 
     def logged(self, line: bytes) -> int:
         if self.world.record is not None:
-            self.world.record(self.world.timeline.steps, self.world.timeline.now - BEGIN, self.name, "log",
-                              line.decode().strip())
+            self.world.record(
+                self.world.timeline.steps,
+                self.world.timeline.now - BEGIN,
+                self.name,
+                "log",
+                line.decode().strip(),
+            )
         if b'"trace"' in line or b'"overdue"' in line:
             value = orjson.loads(line)
-            self.world.attempt(self, lambda: self.oracles.logged(value["event"], value.get("code", ""),
-                                                                 line.decode() + "exception"))
+            self.world.attempt(
+                self,
+                lambda: self.oracles.logged(
+                    value["event"], value.get("code", ""), line.decode() + "exception"
+                ),
+            )
         return len(line)
 
     def fault(self, failure: Failure) -> None:
@@ -261,7 +290,7 @@
             self.broke(broken, machine.name)
 
     def broken_standin(self, failure: Failure) -> None:
-        raise failure.value
+        raise failure.value  # type: ignore[misc]
 
     def observed(self, event: Any) -> None:
         failure = event.get("log_failure")
@@ -271,7 +300,7 @@
     def fault(self, life: Life | None, failure: Failure) -> None:
         machine = next((each for each in self.machines if each.life is life and life is not None), None)
         if machine is None:
-            raise failure.value
+            raise failure.value  # type: ignore[misc]
         machine.fault(failure)
 
     # ---- the far ends
@@ -298,8 +327,11 @@
 
     def start_ledger(self) -> None:
         self.ledger_reactor = self.reactor_for("ledger", LEDGER_IP)
-        self.ledger = Ledger(self.ledger_reactor, self.chance(f"ledger {self.timeline.now}"),
-                             slots=max(4, int(self.plan.calls_out * self.plan.instances)))
+        self.ledger = Ledger(
+            self.ledger_reactor,
+            self.chance(f"ledger {self.timeline.now}"),
+            slots=max(4, int(self.plan.calls_out * self.plan.instances)),
+        )
         for name, value in self.ledger_trouble.items():
             setattr(self.ledger, name, value)
         for port in (8900, 8901):
@@ -317,9 +349,16 @@
         caller = self.plan.callers[number]
         habit = Habit(caller.tries, caller.heeds, caller.sticky, caller.hedges)
         names = tuple(machine.name for machine in self.machines)
-        made = Stub(self.stub_reactors[number], number, habit,
-                    self.chance(f"caller {number} {self.timeline.now}"),
-                    lambda: self.node_list.listed() or names, self.where, self.stamp, self.ended)
+        made = Stub(
+            self.stub_reactors[number],
+            number,
+            habit,
+            self.chance(f"caller {number} {self.timeline.now}"),
+            lambda: self.node_list.listed() or names,
+            self.where,
+            self.stamp,
+            self.ended,
+        )
         made.start(checks=number == 0)
         return made
 
@@ -344,10 +383,18 @@
 
     def want(self, ask: Ask, number: int) -> Want:
         product = self.plan.products[ask.product]
-        return Want(number, product.name, KINDS[product.kind], f"c{ask.customer}" if ask.customer >= 0 else "",
-                    ask.key, ask.size_kb, ask.patience, product.expiry // MS,
-                    b"work=%d calls=%d op=%d n=%d" % (ask.work, ask.calls, ask.op, number),
-                    ask.work / MS if ask.effort else 0.0)
+        return Want(
+            number,
+            product.name,
+            KINDS[product.kind],
+            f"c{ask.customer}" if ask.customer >= 0 else "",
+            ask.key,
+            ask.size_kb,
+            ask.patience,
+            product.expiry // MS,
+            b"work=%d calls=%d op=%d n=%d" % (ask.work, ask.calls, ask.op, number),
+            ask.work / MS if ask.effort else 0.0,
+        )
 
     # ---- faults
 
@@ -456,8 +503,11 @@
 
         def restore() -> None:
             if not machine.whole():
-                machine.file = good if self.parses(good) else orjson.dumps(
-                    self.plan.config(machine.number, machine.moved))
+                machine.file = (
+                    good
+                    if self.parses(good)
+                    else orjson.dumps(self.plan.config(machine.number, machine.moved))
+                )
 
         return restore
 
@@ -485,8 +535,15 @@
 
     def _link_break(self, fault: Fault) -> Any:
         machine = self.alive(fault)
-        links = [] if machine is None else [socket for socket in machine.reactor.sockets.values()
-                                            if socket.peer[0] == kernel_ip(machine.number) and socket.connected]
+        links = (
+            []
+            if machine is None
+            else [
+                socket
+                for socket in machine.reactor.sockets.values()
+                if socket.peer[0] == kernel_ip(machine.number) and socket.connected
+            ]
+        )
         for socket in links:
             self.reset(socket)
         return None if links else False
@@ -553,7 +610,9 @@
         machine = self.machine(fault)
         count, kind = divmod(int(fault.amount), RUDE_KINDS)
         for _ in range(max(1, count)):
-            rude = Rude(Rude.KINDS[kind], self.rude_reactor, self.trouble, self.plan.products[0].name, machine.unix)
+            rude = Rude(
+                Rude.KINDS[kind], self.rude_reactor, self.trouble, self.plan.products[0].name, machine.unix
+            )
             self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, RudeWay(rude), timeout=1.0)
         return None
 
@@ -582,8 +641,12 @@
     def _cut(self, fault: Fault, both: bool = True) -> Any:
         machine = self.machine(fault)
         far = fault.far or FAR[0]
-        ips = {"kernel": [kernel_ip(machine.number)], "ledger": [LEDGER_IP], "node-list": [NODE_LIST_IP],
-               "callers": [caller_ip(number) for number in range(len(self.stubs))]}[far]
+        ips = {
+            "kernel": [kernel_ip(machine.number)],
+            "ledger": [LEDGER_IP],
+            "node-list": [NODE_LIST_IP],
+            "callers": [caller_ip(number) for number in range(len(self.stubs))],
+        }[far]
         ways = [(instance_ip(machine.number), ip) for ip in ips]
         if not both and self.trouble.random() < 0.5:
             ways = [(there, here) for here, there in ways]
@@ -603,8 +666,11 @@
         machine = self.alive(fault)
         if machine is None:
             return False
-        lines = [socket for socket in machine.reactor.sockets.values()
-                 if socket.connected and socket.peer[0].startswith("127.0.7.")]
+        lines = [
+            socket
+            for socket in machine.reactor.sockets.values()
+            if socket.connected and socket.peer[0].startswith("127.0.7.")
+        ]
         for socket in self.trouble.sample(lines, min(len(lines), max(1, int(fault.amount)))):
             self.reset(socket)
         return None if lines else False
@@ -622,7 +688,8 @@
 
     def run(self) -> Outcome:
         plan, timeline = self.plan, self.timeline
-        globalLogPublisher.addObserver(self.observed)
+        observer: Any = self.observed
+        globalLogPublisher.addObserver(observer)
         try:
             self.found()
             for machine in self.machines:
@@ -638,7 +705,7 @@
             if self.broken is None:
                 self.finish()
         finally:
-            globalLogPublisher.removeObserver(self.observed)
+            globalLogPublisher.removeObserver(observer)
         return self.outcome()
 
     def steps(self, until: int) -> bool:
@@ -650,9 +717,18 @@
             if event is None:
                 return True
             life = event.life
-            digest.update(b"%d %b %b" % (timeline.now, b"" if life is None else life.name.encode(), event.label.encode()))
+            digest.update(
+                b"%d %b %b"
+                % (timeline.now, b"" if life is None else life.name.encode(), event.label.encode())
+            )
             if self.record is not None:
-                self.record(timeline.steps, timeline.now - BEGIN, "net" if life is None else life.name, event.label, "")
+                self.record(
+                    timeline.steps,
+                    timeline.now - BEGIN,
+                    "net" if life is None else life.name,
+                    event.label,
+                    "",
+                )
             carry_out(event, self.fault)
             if timeline.now >= looked + LOOK:
                 looked = timeline.now
@@ -660,7 +736,10 @@
                     if machine.instance is not None:
                         self.attempt(machine, partial(machine.oracles.passed, looked))
             if timeline.on_tick > TICK_MOST or timeline.steps > STEPS_MOST:
-                self.broke(Broken("livelock", "", f"{timeline.on_tick} steps on one tick, {timeline.steps} in all"), "?")
+                self.broke(
+                    Broken("livelock", "", f"{timeline.on_tick} steps on one tick, {timeline.steps} in all"),
+                    "?",
+                )
         return False
 
     def calm(self) -> None:
@@ -679,8 +758,16 @@
             open_cases = sum(case.state == "open" for case in self.cases)
             self.broke(Broken("heals", "", f"{open_cases} clients still wait after the quiet point"), "?")
             return
-        probe = Stub(self.probe_reactor, 8, Habit(tries=3, heeds=False), self.chance("probe"), lambda: (), self.where,
-                     self.stamp, self.ended)
+        probe = Stub(
+            self.probe_reactor,
+            8,
+            Habit(tries=3, heeds=False),
+            self.chance("probe"),
+            lambda: (),
+            self.where,
+            self.stamp,
+            self.ended,
+        )
         cases: list[tuple[Machine, Any]] = []
         for number, machine in enumerate([*self.machines, *self.machines]):
             ask = Ask(0, 0, 0, -1, "", 2.0, self.plan.products[0].expiry // MS, 2_000, 1, 5_000)
@@ -692,8 +779,10 @@
         for machine in self.machines:
             states = [case.state for of, case in cases if of is machine]
             if "settled" not in states:
-                self.broke(Broken("heals", "", f"two easy txns of {machine.name} came to {', '.join(states)}"),
-                           machine.name)
+                self.broke(
+                    Broken("heals", "", f"two easy txns of {machine.name} came to {', '.join(states)}"),
+                    machine.name,
+                )
                 return
         self.steps(timeline.now + 100 * MS)
         for machine in self.machines:
@@ -716,22 +805,33 @@
         self.judged["left-over"] += 1
         facade, books = instance.facade, instance.facade.brain.books
         counts = {
-            "jobs": len(instance.jobs), "open txns": len(facade.open), "refs": len(facade.by_ref),
-            "commands": len(instance.kernel.uncarried), "commands sent again": len(instance.kernel.resent),
-            "questions to the kernel": max(0, len(instance.kernel.asked) - 2), "calls": instance.ledger.connections,
+            "jobs": len(instance.jobs),
+            "open txns": len(facade.open),
+            "refs": len(facade.by_ref),
+            "commands": len(instance.kernel.uncarried),
+            "commands sent again": len(instance.kernel.resent),
+            "questions to the kernel": max(0, len(instance.kernel.asked) - 2),
+            "calls": instance.ledger.connections,
             "waiting calls": sum(not call.over for call in instance.ledger.waiting),
-            "bytes held": instance.callers.held, "bytes unread": instance.callers.unread,
-            "runs": books.in_runs(), "calls in hand": len(facade.brain.calls.out),
-            "connections no caller has": len(instance.callers.connections) - sum(
-                socket.connected and socket.inn.source.connected for socket in machine.reactor.sockets.values()),
+            "bytes held": instance.callers.held,
+            "bytes unread": instance.callers.unread,
+            "runs": books.in_runs(),
+            "calls in hand": len(facade.brain.calls.out),
+            "connections no caller has": len(instance.callers.connections)
+            - sum(
+                socket.connected and socket.inn.source.connected
+                for socket in machine.reactor.sockets.values()
+            ),
             "descriptors": max(0, len(machine.reactor.sockets) - len(instance.callers.connections) - 1),
             "strangers": max(0, len(instance.callers.strangers) - len(instance.callers.connections)),
             "keys": max(0, len(facade.keyed) - max(facade.prune_at, 512)),
         }
         left = {name: count for name, count in counts.items() if count > 0}
         if left:
-            self.broke(Broken("left-over", "", ", ".join(f"{name}: {count}" for name, count in left.items())),
-                       machine.name)
+            self.broke(
+                Broken("left-over", "", ", ".join(f"{name}: {count}" for name, count in left.items())),
+                machine.name,
+            )
 
     def outcome(self) -> Outcome:
         plan = self.plan
@@ -739,17 +839,28 @@
         for case in self.cases:
             states[case.state] += 1
         outcome = Outcome(
-            plan.seed, plan.scenario, self.digest.hexdigest(), self.timeline.steps, len(plan.asks), plan.instances,
+            plan.seed,
+            plan.scenario,
+            self.digest.hexdigest(),
+            self.timeline.steps,
+            len(plan.asks),
+            plan.instances,
             came=[(kind.value, begin, end) for kind, begin, end in self.came],
-            pairs=sorted(pairs_met(plan, self.came)), judged=dict(self.judged), states=dict(states))
+            pairs=sorted(pairs_met(plan, self.came)),
+            judged=dict(self.judged),
+            states=dict(states),
+        )
         if self.broken is not None:
             broken, who, at = self.broken
             outcome.rule, outcome.ref, outcome.what, outcome.who, outcome.at = (
-                broken.rule, broken.ref, broken.what, who, at)
+                broken.rule,
+                broken.ref,
+                broken.what,
+                who,
+                at,
+            )
             recent = list(self.recent)
             of_txn = [line for line in recent if broken.ref and line.endswith(broken.ref)][-12:]
             of_instance = [line for line in recent if line.split()[1] in (who, "world")][-12:]
             outcome.recent = [*of_txn, "--", *of_instance]
         return outcome
-
-
--- a/limeridge/standins/callers.py
+++ b/limeridge/standins/callers.py
@@ -1,7 +1,7 @@
 """Stand-ins for caller stubs, usual and bad ones, with the habits that stubs are known for.
 
-It owns a stub's connections, its tries and what became of them. Its parser is its own, apart from the instance's.
-It must never look into an instance: it knows the node list, what it sent and what came back.
+It owns a stub's connections, its tries and what became of them. Its parser is its own, apart from the
+instance's. It must never look into an instance: it knows the node list, what it sent and what came back.
 """
 
 from __future__ import annotations
@@ -98,8 +98,8 @@
             length = int(self.data[:end].split(b":")[1])
             if len(self.data) < end + 4 + length:
                 return
-            body = self.data[end + 4:end + 4 + length]
-            self.data = self.data[end + 4 + length:]
+            body = self.data[end + 4 : end + 4 + length]
+            self.data = self.data[end + 4 + length :]
             self.take(orjson.loads(body))
 
     def take(self, message: dict[str, Any]) -> None:
@@ -137,12 +137,21 @@
 
 
 class Stub:
-    """One caller stub. `listed` gives the names that the node list shows, `where` a name's address, `unix` the time
-    that its machine stamps on a txn for that node; `over` hears of each ref that is answered or given up."""
-
-    def __init__(self, reactor: Any, number: int, habit: Habit, chance: random.Random, listed: Callable[[], Any],
-                 where: Callable[[str], tuple[str, int]], unix: Callable[[str], float],
-                 over: Callable[[str], None]) -> None:
+    """One caller stub. `listed` gives the names that the node list shows, `where` a name's address, `unix`
+    the time that its machine stamps on a txn for that node; `over` hears of each ref that is answered or
+    given up."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        number: int,
+        habit: Habit,
+        chance: random.Random,
+        listed: Callable[[], Any],
+        where: Callable[[str], tuple[str, int]],
+        unix: Callable[[str], float],
+        over: Callable[[str], None],
+    ) -> None:
         self.reactor, self.number, self.habit, self.chance = reactor, number, habit, chance
         self.listed, self.where, self.unix, self.over = listed, where, unix, over
         self.lines: dict[str, list[Line]] = {}
@@ -200,7 +209,10 @@
         self.line_to(node, case, each)
 
     def line_to(self, node: str, case: Case, each: Try) -> None:
-        line = next((line for line in self.lines.get(node, []) if not line.leaving and len(line.open) < OPEN_MOST), None)
+        line = next(
+            (line for line in self.lines.get(node, []) if not line.leaving and len(line.open) < OPEN_MOST),
+            None,
+        )
         if line is None:
             line = Line(self, node)
             self.lines.setdefault(node, []).append(line)
@@ -223,8 +235,14 @@
         each.sent = now
         left = (each.timer.getTime() - now) * 1_000
         params: dict[str, object] = {
-            "i": each.ref, "s": int(self.unix(each.node) * 1_000), "f": self.number, "d": max(1, int(left)),
-            "m": want.size_kb, "p": 0.5, "doc": base64.b64encode(want.doc).decode()}
+            "i": each.ref,
+            "s": int(self.unix(each.node) * 1_000),
+            "f": self.number,
+            "d": max(1, int(left)),
+            "m": want.size_kb,
+            "p": 0.5,
+            "doc": base64.b64encode(want.doc).decode(),
+        }
         if want.customer:
             params["t"] = want.customer
         if each.resent:
@@ -416,10 +434,26 @@
     """A bad peer: `kind` is what it does."""
 
     transport: Any
-    KINDS = ("silent", "half", "garbage", "oversize", "no-length", "unread", "same-id", "batch", "fields",
-             "revokes", "cut-off", "early-end", "flood", "stranger")
-
-    def __init__(self, kind: str, reactor: Any, chance: random.Random, product: str, unix: Callable[[], float]) -> None:
+    KINDS = (
+        "silent",
+        "half",
+        "garbage",
+        "oversize",
+        "no-length",
+        "unread",
+        "same-id",
+        "batch",
+        "fields",
+        "revokes",
+        "cut-off",
+        "early-end",
+        "flood",
+        "stranger",
+    )
+
+    def __init__(
+        self, kind: str, reactor: Any, chance: random.Random, product: str, unix: Callable[[], float]
+    ) -> None:
         self.kind, self.reactor, self.chance, self.unix = kind, reactor, chance, unix
         self.product = product.encode()
 
@@ -447,18 +481,33 @@
             case "same-id":
                 write(ask(7) + ask(7) + ask(8))
             case "batch":
-                write(framed(b"[" + GOOD % (1, self.product, b"0" * 16, 5) + b"]") + framed(b"nonsense") + ask(3))
+                write(
+                    framed(b"[" + GOOD % (1, self.product, b"0" * 16, 5) + b"]")
+                    + framed(b"nonsense")
+                    + ask(3)
+                )
             case "fields":
-                write(b"".join(framed(body) for body in (
-                    b'{"jsonrpc":"1.0","id":1,"method":"x"}', b'{"jsonrpc":"2.0","id":2,"method":"nothing"}',
-                    b'{"jsonrpc":"2.0","id":0,"method":"heartbeat"}',
-                    b'{"jsonrpc":"2.0","id":3,"method":"%b","params":{"i":"xyz"}}' % self.product,
-                    b'{"jsonrpc":"2.0","id":4,"method":"%b","params":[]}' % self.product,
-                    b'{"jsonrpc":"2.0","id":5,"method":"%b","params":{"i":"%016x","s":1,"doc":"?","m":1}}'
-                    % (self.product, self.chance.getrandbits(64)))) + ask(6))
+                write(
+                    b"".join(
+                        framed(body)
+                        for body in (
+                            b'{"jsonrpc":"1.0","id":1,"method":"x"}',
+                            b'{"jsonrpc":"2.0","id":2,"method":"nothing"}',
+                            b'{"jsonrpc":"2.0","id":0,"method":"heartbeat"}',
+                            b'{"jsonrpc":"2.0","id":3,"method":"%b","params":{"i":"xyz"}}' % self.product,
+                            b'{"jsonrpc":"2.0","id":4,"method":"%b","params":[]}' % self.product,
+                            b'{"jsonrpc":"2.0","id":5,"method":"%b","params":{"i":"%016x","s":1,"doc":"?","m":1}}'
+                            % (self.product, self.chance.getrandbits(64)),
+                        )
+                    )
+                    + ask(6)
+                )
             case "revokes":
                 for number in range(1, 5):
-                    write(ask(number) + framed(b'{"jsonrpc":"2.0","method":"revoke","params":{"id":%d}}' % number))
+                    write(
+                        ask(number)
+                        + framed(b'{"jsonrpc":"2.0","method":"revoke","params":{"id":%d}}' % number)
+                    )
                 write(framed(b'{"jsonrpc":"2.0","method":"revoke","params":{"i":"ffffffffffffffff"}}'))
             case "cut-off":
                 write(ask(1) + ask(2) + ask(3)[:50])
--- a/limeridge/standins/kernel.py
+++ b/limeridge/standins/kernel.py
@@ -1,7 +1,8 @@
 """A stand-in for the kernel: cores shared by its runs, notices kept for a link that comes back.
 
 It owns the runs, their work and the notices with their numbers. A run's script stands in its body
-(`work=12000 calls=1 op=20000`), so that the same body costs the same anywhere. It must never look into an instance.
+(`work=12000 calls=1 op=20000`), so that the same body costs the same anywhere. It must never look into an
+instance.
 """
 
 from __future__ import annotations
@@ -82,8 +83,16 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, cores: int, chance: random.Random, over: Callable[[str], bool],
-                 boot: float = 0.0, cold: bool = False, memory_kb: float = 4_000.0) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        cores: int,
+        chance: random.Random,
+        over: Callable[[str], bool],
+        boot: float = 0.0,
+        cold: bool = False,
+        memory_kb: float = 4_000.0,
+    ) -> None:
         self.reactor, self.cores, self.chance, self.over = reactor, cores, chance, over
         self.up_at, self.cold, self.memory_kb = reactor.seconds() + boot, cold, memory_kb
         self.speed = 1.0  # of a core, under a fault
@@ -94,7 +103,9 @@
         self.notices: list[bytes] = []
         self.dropped = 0
         self.broken: list[bytes] = []  # lines that are no commands
-        self.misled: Callable[[str], None] = lambda handle: None  # hears of a reply to another call than the run's
+        self.misled: Callable[[str], None] = (
+            lambda handle: None
+        )  # hears of a reply to another call than the run's
         self.running: dict[str, Run] = {}
         self.moved_at = reactor.seconds()
         self.timer: Any = None
@@ -151,8 +162,11 @@
             case "SYSINFO":
                 busy = min(1.0, len(self.running) / self.cores)
                 memory = 100.0 * len(self.runs)
-                self.tell(event="INFO", ticket=command["ticket"],
-                          figures=[busy, float(len(self.running)), memory, 10.0])
+                self.tell(
+                    event="INFO",
+                    ticket=command["ticket"],
+                    figures=[busy, float(len(self.running)), memory, 10.0],
+                )
             case "POST":
                 self.tell(event="POSTED", ticket=command["ticket"], fate="ok")
             case other:
@@ -164,7 +178,7 @@
         link.opened = True
         ago = max(0.0, self.reactor.seconds() - self.up_at) * 1_000
         self.tell(event="BOOTED", fate="cold" if self.cold else "warm", lasted=ago if self.cold else 60_000.0)
-        for line in self.notices[max(0, cursor - self.dropped):]:
+        for line in self.notices[max(0, cursor - self.dropped) :]:
             self.send(line)
 
     # ---- the cores
@@ -188,7 +202,9 @@
         """Work a microsecond that each run gets."""
         speed = self.speed
         if self.cold:
-            speed *= min(1.0, self.cold_from + (1 - self.cold_from) * (self.reactor.seconds() - self.up_at) / self.ramp)
+            speed *= min(
+                1.0, self.cold_from + (1 - self.cold_from) * (self.reactor.seconds() - self.up_at) / self.ramp
+            )
         return speed * min(1.0, self.cores / max(1, len(self.running)))
 
     def move(self) -> None:
@@ -227,14 +243,21 @@
                 return
             run.number += 1
             run.state = "waits"
-            run.waits_for = self.note(event="IOREQ", handle=run.handle, arg=base64.b64encode(call_of(run)).decode())
+            run.waits_for = self.note(
+                event="IOREQ", handle=run.handle, arg=base64.b64encode(call_of(run)).decode()
+            )
         else:
             self.end(run, "ok")
 
     def end(self, run: Run, fate: str) -> None:
         run.state = "over"
-        self.note(event="REAP", handle=run.handle, fate=fate, lasted=1.0,
-                  arg=result_of(run.handle, run.doc) if fate == "ok" else "")
+        self.note(
+            event="REAP",
+            handle=run.handle,
+            fate=fate,
+            lasted=1.0,
+            arg=result_of(run.handle, run.doc) if fate == "ok" else "",
+        )
 
     def ended_outside(self, handle: str) -> None:
         """Its txn was answered or given up: a run that waits for a call ends there."""
--- a/limeridge/standins/ledger.py
+++ b/limeridge/standins/ledger.py
@@ -1,6 +1,7 @@
 """A stand-in for the ledger: HTTP/1.1 calls, each taking as long as its body says, and the troubles of one.
 
-It owns its slots and its scripts of trouble. It must never know whose call is whose beyond what the call says.
+It owns its slots and its scripts of trouble. It must never know whose call is whose beyond what the call
+says.
 """
 
 from __future__ import annotations
@@ -40,15 +41,26 @@
 
     def reply(self, status: int, body: bytes, not_begun: bool = False) -> None:
         ledger = self.ledger
-        words = {200: "OK", 409: "Conflict", 500: "Internal Server Error", 503: "Service Unavailable",
-                 504: "Gateway Timeout"}
+        words = {
+            200: "OK",
+            409: "Conflict",
+            500: "Internal Server Error",
+            503: "Service Unavailable",
+            504: "Gateway Timeout",
+        }
         mark = "Op-Not-Begun: 1\r\n" if not_begun else ""
-        text = f"HTTP/1.1 {status} {words[status]}\r\n{mark}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        text = (
+            f"HTTP/1.1 {status} {words[status]}\r\n{mark}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        )
         draw = ledger.chance.random()
         if draw < ledger.spoils:
             kind = int(ledger.chance.random() * 4)
-            text = (b"\x16\x03\x01 noise", text[:-1], b"HTTP/1.1 2x0 ??\r\n\r\n",
-                    text.replace(b"Content-Length", b"Content-Longth"))[kind]
+            text = (
+                b"\x16\x03\x01 noise",
+                text[:-1],
+                b"HTTP/1.1 2x0 ??\r\n\r\n",
+                text.replace(b"Content-Length", b"Content-Longth"),
+            )[kind]
             self.transport.write(text)
             self.transport.loseConnection()
             return
