--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -9,13 +9,14 @@
 import importlib.abc
 import importlib.machinery
 import importlib.util
-import multiprocessing
 import signal
 import statistics
+import subprocess
 import sys
 import types
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from multiprocessing.pool import ThreadPool
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -527,12 +528,16 @@
 # ---- putting one in
 
 
+def module_of(mutant: Mutant) -> str:
+    return "limeridge." + mutant.file.removesuffix(".py").replace("/", ".")
+
+
 class Patched(importlib.abc.MetaPathFinder, importlib.abc.Loader):
     """Loads one module with its source changed."""
 
     def __init__(self, mutant: Mutant) -> None:
         self.mutant, self.path = mutant, ROOT / mutant.file
-        self.module = "limeridge." + mutant.file.removesuffix(".py").replace("/", ".")
+        self.module = module_of(mutant)
 
     def find_spec(
         self, name: str, path: Sequence[str] | None, target: types.ModuleType | None = None
@@ -544,6 +549,7 @@
         )
 
     def exec_module(self, module: types.ModuleType) -> None:
+        module.__dict__["MUTANT"] = self.mutant.name
         exec(compile(changed(self.mutant), str(self.path), "exec"), module.__dict__)
 
 
@@ -568,12 +574,13 @@
     raise Hung
 
 
-def seek(job: tuple[Mutant, str, int, int]) -> tuple[str, int | None, str]:
-    """In a process of its own: the mutant's name, seeds until it was found, and the rule that it broke."""
-    mutant, scenario, first, most = job
+def seek(mutant: Mutant, scenario: str, first: int, most: int) -> tuple[int | None, str]:
+    """In a process that has not imported the instance: seeds until it was found, and the rule that it broke."""
     sys.meta_path.insert(0, Patched(mutant))
     from limeridge.sim.explore import run_seed
 
+    if not getattr(sys.modules[module_of(mutant)], "MUTANT", ""):
+        raise Misplaced(f"{mutant.name}: {mutant.file} was imported before the defect was put in")
     signal.signal(signal.SIGALRM, _hung)
     for number in range(most):
         signal.alarm(RUN_MOST)
@@ -586,23 +593,34 @@
         finally:
             signal.alarm(0)
         if rule:
-            return mutant.name, number + 1, rule
-    return mutant.name, None, ""
+            return number + 1, rule
+    return None, ""
+
+
+def seek_elsewhere(job: tuple[Mutant, str, int, int]) -> tuple[Mutant, int | None, str]:
+    """`seek` in a fresh process."""
+    mutant, scenario, first, most = job
+    done = subprocess.run(
+        [sys.executable, "-m", "limeridge.sim.mutants", mutant.name, scenario, str(first), str(most)],
+        stdout=subprocess.PIPE,
+        check=True,
+    )
+    seeds, _, rule = done.stdout.decode().strip().partition(" ")
+    return mutant, int(seeds) or None, rule
 
 
 def hunt(mutants: Sequence[Mutant], scenario: str, most: int, starts: int, jobs: int) -> Iterator[Row]:
     """Rows as they are complete."""
     for mutant in mutants:
         changed(mutant)
-    by_name = {mutant.name: mutant for mutant in mutants}
     work = [(mutant, scenario, start * APART, most) for mutant in mutants for start in range(starts)]
     got: dict[str, list[tuple[int | None, str]]] = {}
-    with multiprocessing.get_context("spawn").Pool(jobs, maxtasksperchild=1) as pool:
-        for name, seeds, rule in pool.imap_unordered(seek, work):
-            results = got.setdefault(name, [])
+    with ThreadPool(jobs) as pool:
+        for mutant, seeds, rule in pool.imap_unordered(seek_elsewhere, work):
+            results = got.setdefault(mutant.name, [])
             results.append((seeds, rule))
             if len(results) == starts:
-                yield row_of(by_name[name], results)
+                yield row_of(mutant, results)
 
 
 def row_of(mutant: Mutant, results: list[tuple[int | None, str]]) -> Row:
@@ -633,3 +651,9 @@
             f"{'-' if row.median is None else f'{row.median:g}'} | {', '.join(row.rules)} |"
         )
     return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    chosen = next(mutant for mutant in MUTANTS if mutant.name == sys.argv[1])
+    seeds, rule = seek(chosen, sys.argv[2], int(sys.argv[3]), int(sys.argv[4]))
+    print(seeds or 0, rule)
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -56,6 +56,7 @@
     "cursor": "notices are read on where they were left",
     "left-out": "a call is left out only where it may be",
     "call-kept": "a good reply is used",
+    "call-wait": "a call is waited for no longer than it told",
     "form": "what is written is of the protocol",
     "exception": "no exception in any txn's path",
     "guard": "nothing is forgotten until the guard finds it",
@@ -107,6 +108,7 @@
     case: Case
     cursor: int
     begun: int
+    wait: int
     replied: bool = False
     end: int = -1
 
@@ -508,7 +510,7 @@
             if not case.call_proved:
                 raise Broken("call-twice", call.ref, "made again, though the first may have had its effect")
         case.call_proved = False
-        self.calls[call.line] = Out(case, case.cursor, self.now)
+        self.calls[call.line] = Out(case, case.cursor, self.now, call.wait_ms * MS)
         self._judge_calls()
 
     def _replied(self, reply: Replied) -> None:
@@ -530,6 +532,10 @@
         out = self.calls.pop(ended.line, None)
         if out is None:
             return
+        over = self.now - out.begun - out.wait
+        self.judged["call-wait"] += 1
+        if not out.replied and over > self.slack and self.resumed < out.begun and not self.paused():
+            raise Broken("call-wait", out.case.ask.ref, f"given up {over / MS:.0f} ms later than it told")
         end = out.end if out.replied else self.now + 100 * MS * ended.by_us
         self.past.append((out.begun, end))
 
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -52,6 +52,8 @@
 RECENT = 400  # events kept for a report
 TICK_MOST = 20_000  # steps on one tick
 LOOK = 5 * MS  # between two looks for what is overdue
+KERNEL_PORTS = 7300, 7301
+MOVED_AFTER = 400 * MS  # until nobody is at an address that the configuration no longer names
 SETTLE = 1_300 * MS  # after the last heal, until all must serve again
 PROBE_WAIT = 2_500 * MS
 END_WAIT = 4 * SECOND
@@ -129,7 +131,7 @@
             Broken("reply", ref, "the kernel took a reply for another call")
         )
         self.kernel.speed, self.kernel.doubled = self.speed, self.doubled
-        for port in (7300, 7301):
+        for port in KERNEL_PORTS:
             self.kernel_reactor.listenTCP(port, self.kernel)
         config = orjson.loads(self.file) if self.whole() else plan.config(self.number, self.moved)
         config["settings"]["familyInfo"]["justStarted"] = cold
@@ -148,7 +150,7 @@
         )
         tap = Recorder(
             frozenset(product.name for product in plan.products),
-            frozenset((kernel_ip(self.number), port) for port in (7300, 7301)),
+            frozenset((kernel_ip(self.number), port) for port in KERNEL_PORTS),
             frozenset((LEDGER_IP, port) for port in (8900, 8901)),
             self.see,
         )
@@ -171,6 +173,24 @@
             return False
         return True
 
+    def kernel_moves(self) -> None:
+        """To the address that the configuration names now; the old one goes a while later, with its links."""
+        new, old = KERNEL_PORTS[self.moved], KERNEL_PORTS[not self.moved]
+        reactor, world = self.kernel_reactor, self.world
+        if (reactor.life.ip, new) not in world.network.listeners:
+            reactor.listenTCP(new, self.kernel)
+
+        def close() -> None:
+            if reactor.life.alive and KERNEL_PORTS[self.moved] == new:
+                for port in reactor.ports:
+                    if port.address[1] == old and port.open:
+                        port.close()
+                for socket in list(reactor.sockets.values()):
+                    if socket.host[1] == old:
+                        world.reset(socket)
+
+        world.timeline.at(world.timeline.now + MOVED_AFTER, None, "moved", close)
+
     def signal(self, number: int) -> None:
         if self.instance is not None:
             self.reactor.callFromThread(self.instance.notices()[number])
@@ -488,6 +508,7 @@
             return False
         machine.moved = not machine.moved
         machine.file = orjson.dumps(self.plan.config(machine.number, machine.moved))
+        machine.kernel_moves()
         machine.signal(SIGHUP)
         return None
 
@@ -498,37 +519,27 @@
         good = machine.file
         bad = orjson.loads(good) if machine.whole() else {}
         bad.get("settings", {}).pop("classes", None)
-        machine.file = self.trouble.choice((b"", b"[]", b"\xff\xfe", orjson.dumps(bad)))
+        spoilt = machine.file = self.trouble.choice((b"", b"[]", b"\xff\xfe", orjson.dumps(bad)))
         machine.signal(SIGHUP)
 
         def restore() -> None:
-            if not machine.whole():
-                machine.file = (
-                    good
-                    if self.parses(good)
-                    else orjson.dumps(self.plan.config(machine.number, machine.moved))
-                )
+            if machine.file is spoilt:
+                machine.file = orjson.dumps(self.plan.config(machine.number, machine.moved))
 
         return restore
 
-    @staticmethod
-    def parses(data: bytes) -> bool:
-        try:
-            return bool(orjson.loads(data))
-        except ValueError:
-            return False
-
     def _reload_half(self, fault: Fault) -> Any:
         machine = self.alive(fault)
         if machine is None:
             return False
         machine.moved = not machine.moved
         data = orjson.dumps(self.plan.config(machine.number, machine.moved))
-        machine.file = data[: int(self.trouble.random() * len(data))]
+        half = machine.file = data[: int(self.trouble.random() * len(data))]
+        machine.kernel_moves()
         machine.signal(SIGHUP)
 
         def complete() -> None:
-            if not machine.whole():
+            if machine.file is half:
                 machine.file = data
 
         return complete
@@ -785,8 +796,14 @@
                 )
                 return
         self.steps(timeline.now + 100 * MS)
-        for machine in self.machines:
-            self.left_over(machine)
+        missing = sorted({machine.name for machine in self.machines} - set(self.node_list.current()))
+        if missing and self.broken is None:
+            self.broke(Broken("heals", "", f"not on the node list: {', '.join(missing)}"), missing[0])
+        self.judged["left-over"] += 1
+        if not self.wait(SECOND, lambda: not any(self.left_over(machine) for machine in self.machines)):
+            for machine in self.machines:
+                if left := self.left_over(machine):
+                    self.broke(Broken("left-over", "", left), machine.name)
 
     def wait(self, most: int, done: Callable[[], bool]) -> bool:
         """Goes on until `done`, at most for that long; a broken rule counts as done."""
@@ -798,11 +815,11 @@
                 return True
         return True
 
-    def left_over(self, machine: Machine) -> None:
+    def left_over(self, machine: Machine) -> str:
+        """What stands in an instance's tables that should not, in words; empty where nothing does."""
         instance = machine.instance
-        if instance is None or self.broken is not None:
-            return
-        self.judged["left-over"] += 1
+        if instance is None:
+            return ""
         facade, books = instance.facade, instance.facade.brain.books
         counts = {
             "jobs": len(instance.jobs),
@@ -817,21 +834,14 @@
             "bytes unread": instance.callers.unread,
             "runs": books.in_runs(),
             "calls in hand": len(facade.brain.calls.out),
-            "connections no caller has": len(instance.callers.connections)
-            - sum(
-                socket.connected and socket.inn.source.connected
-                for socket in machine.reactor.sockets.values()
+            "connections no caller has": sum(
+                each.transport.other.closed for each in instance.callers.connections
             ),
             "descriptors": max(0, len(machine.reactor.sockets) - len(instance.callers.connections) - 1),
             "strangers": max(0, len(instance.callers.strangers) - len(instance.callers.connections)),
             "keys": max(0, len(facade.keyed) - max(facade.prune_at, 512)),
         }
-        left = {name: count for name, count in counts.items() if count > 0}
-        if left:
-            self.broke(
-                Broken("left-over", "", ", ".join(f"{name}: {count}" for name, count in left.items())),
-                machine.name,
-            )
+        return ", ".join(f"{name}: {count}" for name, count in counts.items() if count)
 
     def outcome(self) -> Outcome:
         plan = self.plan
--- a/limeridge/standins/nodelist.py
+++ b/limeridge/standins/nodelist.py
@@ -28,10 +28,14 @@
             return
         self.reports[words[1]] = self.reactor.seconds()
 
+    def current(self) -> tuple[str, ...]:
+        now = self.reactor.seconds()
+        return tuple(sorted(name for name, at in self.reports.items() if now - at < LAPSE))
+
     def listed(self) -> tuple[str, ...]:
         """As callers see it: `late` seconds old."""
         now = self.reactor.seconds()
-        current = tuple(sorted(name for name, at in self.reports.items() if now - at < LAPSE))
+        current = self.current()
         if not self.seen or self.seen[-1][1] != current:
             self.seen.append((now, current))
         while len(self.seen) > 1 and self.seen[1][0] <= now - self.late:
