--- a/limeridge/sim/scenario.py
+++ b/limeridge/sim/scenario.py
@@ -92,13 +92,14 @@
 def ranges_of(message: pb.Scenario) -> Ranges:
     def within(name: str) -> Range:
         if not message.HasField(name):
-            return getattr(USUAL, name)
+            usual: Range = getattr(USUAL, name)
+            return usual
         given = getattr(message, name)
         return given.least, given.most
 
     return Ranges(
         name=message.name,
-        **{name: within(name) for name in LIMITS},  # type: ignore[arg-type]
+        **{name: within(name) for name in LIMITS},
         kinds=tuple(Kind[pb.FaultKind.Name(kind)] for kind in message.kinds) or USUAL.kinds,
         scripted=tuple(fault_of(fault) for fault in message.fault),
         quanta=tuple(message.quantum_us) or USUAL.quanta,
