--- a/limeridge/cli/sim.py
+++ b/limeridge/cli/sim.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import os
+import statistics
 import subprocess
 import sys
 from collections.abc import Iterable
+from multiprocessing.pool import ThreadPool
 from pathlib import Path
 from typing import Any, BinaryIO
 
@@ -295,7 +297,8 @@
     out.parent.mkdir(parents=True, exist_ok=True)
     out.write_bytes(to_json(smaller))
     click.echo(
-        f"{outcome.steps} steps, {len(plan.asks)} txns, {len(plan.faults)} faults, {plan.instances} instances -> "
+        f"{outcome.steps} steps, {len(plan.asks)} txns, {len(plan.faults)} faults, "
+        f"{plan.instances} instances -> "
         f"{best.steps} steps, {len(smaller.asks)} txns, {len(smaller.faults)} faults, {smaller.instances} "
         f"instances, in {tries} tries: {out}"
     )
@@ -369,9 +372,8 @@
         click.echo(orjson.dumps(rows))
     else:
         for row in rows:
-            click.echo(
-                f"{row['name']}: {'held' if not row['rule'] else row['rule'] + ': ' + row['what']} ({row['note']})"
-            )
+            state = f"{row['rule']}: {row['what']}" if row["rule"] else "held"
+            click.echo(f"{row['name']}: {state} ({row['note']})")
         click.echo(f"{len(rows)} plans, {sum(bool(row['rule']) for row in rows)} broke a rule")
     ended(any(row["rule"] for row in rows))
 
@@ -440,6 +442,56 @@
         click.echo(summary(rows))
 
 
+@sim.command("prove")
+@click.option("--mutants", "count", type=click.IntRange(1), default=10, show_default=True)
+@click.option(
+    "--seconds", type=click.FloatRange(1), default=60.0, show_default=True, help="For shrinking each."
+)
+@click.option("--jobs", "-j", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@SCENARIO
+@click.option(
+    "--keep", type=click.Path(file_okay=False, path_type=Path), help="A folder for the small plans."
+)
+@AS_JSON
+def prove(count: int, seconds: float, jobs: int, scenario: str, keep: Path | None, as_json: bool) -> None:
+    """Replays failing seeds of mutants in three processes with other hash seeds, and shrinks them."""
+    from limeridge.sim import mutants as defects
+
+    if keep:
+        keep.mkdir(parents=True, exist_ok=True)
+    apart = max(1, len(defects.MUTANTS) // count)
+    chosen = defects.MUTANTS[::apart][:count]
+    found = [(row.name, row.seeds[0]) for row in defects.hunt(chosen, scenario, 400, 1, jobs)]
+    by_name = {mutant.name: mutant for mutant in chosen}
+
+    def one(each: tuple[str, int | None]) -> Any:
+        name, seeds = each
+        if seeds is None:
+            return None
+        small = keep / f"{name}.json" if keep else None
+        return defects.prove(by_name[name], scenario, seeds - 1, seconds, small)
+
+    with ThreadPool(max(1, jobs // 2)) as pool:
+        proofs = [proof for proof in pool.imap(one, found) if proof is not None]
+    shares = [proof.small / proof.steps for proof in proofs]
+    same = all(len(set(proof.digests)) == 1 for proof in proofs)
+    if as_json:
+        click.echo(orjson.dumps(proofs))
+    else:
+        for proof in proofs:
+            click.echo(
+                f"{proof.name}: seed {proof.seed}, {proof.rule}, "
+                f"{'the same digest' if len(set(proof.digests)) == 1 else 'NOT the same digest'} in "
+                f"{len(proof.digests)} processes, {proof.steps} -> {proof.small} steps "
+                f"in {proof.tries} tries, {proof.seconds:.0f} s"
+            )
+        click.echo(
+            f"{len(proofs)} proofs, digests {'the same' if same else 'NOT the same'}, "
+            f"median share of steps left {statistics.median(shares):.3f}"
+        )
+    ended(not same)
+
+
 def summary(rows: Iterable[Any]) -> str:
     rows = list(rows)
     found = [row for row in rows if row.median is not None]
--- a/limeridge/sim/plan.py
+++ b/limeridge/sim/plan.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from itertools import combinations
@@ -168,6 +168,7 @@
     cold: bool = False
     round: int = 5 * MS
     boot: int = 0  # microseconds that a kernel takes to come up
+    checks: bool = True  # whether a caller makes health checks
 
     def config(self, number: int, moved: bool = False, life: int = 0) -> dict[str, Any]:
         """The configuration of an instance, in the platform's form; `moved` names the other addresses."""
@@ -532,6 +533,9 @@
                     replace(f, target=0) if f.kind is Kind.CALLER_RESTART else f for f in plan.faults
                 ),
             )
+        if plan.checks:
+            yield replace(plan, checks=False)
+        yield from self._sooner()
         calm = replace(plan.weather, split=0.0, join=0.0, lost=0.0, doubled=0.0, late=0.0)
         yield replace(plan, weather=calm)
         for number, fault in enumerate(plan.faults):
@@ -539,6 +543,17 @@
                 shorter = replace(fault, lasts=fault.lasts // 2)
                 yield replace(plan, faults=(*plan.faults[:number], shorter, *plan.faults[number + 1 :]))
 
+    def _sooner(self) -> Iterator[Plan]:
+        """The same in less time: what comes before the first event cut away, or all of it at half the
+        distance."""
+        plan = self.best
+        times = [ask.at for ask in plan.asks] + [fault.at for fault in plan.faults]
+        first = min(times, default=0)
+        if first > 40 * MS:
+            yield moved(plan, lambda at: max(0, at - first + 20 * MS))
+        yield moved(plan, lambda at: at // 2)
+        yield moved(plan, lambda at: at * 4 // 5)
+
     @staticmethod
     def _parts(count: int) -> Iterator[slice]:
         size = count
@@ -562,6 +577,16 @@
             self.best, self.broken_at = plan, broken_at
 
 
+def moved(plan: Plan, to: Callable[[int], int]) -> Plan:
+    """All times of a plan changed alike."""
+    return replace(
+        plan,
+        quiet=to(plan.quiet),
+        asks=tuple(replace(ask, at=to(ask.at)) for ask in plan.asks),
+        faults=tuple(replace(fault, at=to(fault.at)) for fault in plan.faults),
+    )
+
+
 def without(items: tuple[Any, ...], part: slice) -> tuple[Any, ...]:
     left = list(items)
     del left[part]
--- /dev/null
+++ b/limeridge/standins/day.py
@@ -0,0 +1,168 @@
+"""`python -m limeridge.standins.day`: a short day of the stand-ins with a real instance on loopback sockets.
+
+It owns the wiring of one process with all stand-ins and one child, the instance. It must never open a socket
+off loopback, and ends by itself.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+from twisted.internet import reactor as the_reactor
+from twisted.internet.protocol import ProcessProtocol
+
+from limeridge.sim.plan import Ranges, draw
+from limeridge.standins.callers import Habit, Rude, RudeWay, Stub, Want
+from limeridge.standins.kernel import Kernel
+from limeridge.standins.ledger import Ledger
+from limeridge.standins.nodelist import NodeList
+
+HERE = "127.0.0.1"
+READY_MOST = 10.0  # seconds that an instance may take to be ready
+KINDS = {"free": "inquiry-like", "guarded": "referenced", "single_shot": "once-only"}
+
+
+class Child(ProcessProtocol):
+    def __init__(self, day: Day) -> None:
+        self.day, self.log = day, b""
+
+    def outReceived(self, data: bytes) -> None:
+        self.log += data
+
+    def errReceived(self, data: bytes) -> None:
+        self.log += data
+
+    def processEnded(self, reason: Any) -> None:
+        self.day.report["exit"] = reason.value.exitCode
+        self.day.reactor.callLater(0.1, self.day.reactor.stop)
+
+
+class Day:
+    """`seconds` of traffic at `rate` txns a second, bad callers among them, and a drain at the end."""
+
+    def __init__(self, seconds: float, rate: float, seed: int) -> None:
+        self.reactor: Any = the_reactor
+        self.seconds, self.rate = seconds, rate
+        self.chance = random.Random(seed)
+        self.report: dict[str, Any] = {}
+        self.gone: set[str] = set()
+        self.plan = draw(Ranges(), seed)
+        with socket.socket() as free:
+            free.bind((HERE, 0))
+            self.port = free.getsockname()[1]
+        self.kernel = Kernel(self.reactor, 2, self.chance, self.gone.__contains__)
+        self.ledger = Ledger(self.reactor, self.chance)
+        self.node_list = NodeList(self.reactor, late=0.0)
+        self.stubs = [
+            Stub(
+                self.reactor,
+                number,
+                Habit(),
+                random.Random(seed + number),
+                self.node_list.listed,
+                lambda _: (HERE, self.port),
+                lambda _: time.time(),
+                self.over,
+            )
+            for number in range(3)
+        ]
+
+    def over(self, ref: str) -> None:
+        self.gone.add(ref)
+        self.kernel.ended_outside(ref)
+
+    def start(self, folder: str) -> None:
+        reactor, config = self.reactor, self.plan.config(0)
+        ports = [
+            reactor.listenTCP(0, each, interface=HERE).getHost().port for each in (self.kernel, self.ledger)
+        ]
+        listed = reactor.listenUDP(0, self.node_list, interface=HERE).getHost().port
+        config |= {
+            "listen": f"{HERE}:{self.port}",
+            "kernel": f"{HERE}:{ports[0]}",
+            "records": f"{HERE}:{ports[1]}",
+            "roster": f"{HERE}:{listed}",
+        }
+        config["settings"]["familyInfo"]["cpus"] = 2
+        path = Path(folder) / "config.json"
+        path.write_bytes(orjson.dumps(config))
+        self.child = Child(self)
+        self.process = reactor.spawnProcess(
+            self.child,
+            sys.executable,
+            [sys.executable, "-m", "limeridge"],
+            env=os.environ | {"BALANCER_CONFIG": str(path)},
+        )
+        self.begun = reactor.seconds()
+        reactor.callLater(0.05, self.await_ready)
+
+    def await_ready(self) -> None:
+        if self.node_list.listed():
+            self.report["ready_s"] = round(self.reactor.seconds() - self.begun, 3)
+            self.traffic()
+        elif self.reactor.seconds() - self.begun > READY_MOST:
+            self.process.signalProcess("KILL")
+        else:
+            self.reactor.callLater(0.02, self.await_ready)
+
+    def traffic(self) -> None:
+        self.stubs[0].start()
+        for number in range(int(self.seconds * self.rate)):
+            self.reactor.callLater(self.chance.random() * self.seconds, self.ask, number)
+        for kind in Rude.KINDS:
+            rude = Rude(kind, self.reactor, self.chance, self.plan.products[0].name, time.time)
+            self.reactor.callLater(
+                self.chance.random() * self.seconds, self.reactor.connectTCP, HERE, self.port, RudeWay(rude)
+            )
+        self.reactor.callLater(self.seconds + 2.5, self.drain)
+
+    def ask(self, number: int) -> None:
+        product = self.chance.choice(self.plan.products)
+        key = f"k{number}" if product.kind == "guarded" else ""
+        doc = b"work=%d calls=%d op=5000 n=%d" % (self.chance.randrange(1_000, 6_000), number % 3, number)
+        self.chance.choice(self.stubs).want(
+            Want(
+                number,
+                product.name,
+                KINDS[product.kind],
+                "",
+                key,
+                10.0,
+                product.expiry // 1_000,
+                product.expiry // 1_000,
+                doc,
+            )
+        )
+
+    def drain(self) -> None:
+        self.drained = self.reactor.seconds()
+        self.process.signalProcess(signal.SIGTERM)
+
+    def run(self) -> dict[str, Any]:
+        with tempfile.TemporaryDirectory() as folder:
+            self.reactor.callWhenRunning(self.start, folder)
+            self.reactor.run()
+        states = [case.state for stub in self.stubs for case in stub.cases]
+        self.report |= {
+            "txns": len(states),
+            "states": {state: states.count(state) for state in sorted(set(states))},
+            "checks_good": self.stubs[0].checks[1],
+            "reports_strange": self.node_list.strange,
+            "lines_broken": [line.decode(errors="replace") for line in self.kernel.broken],
+            "exceptions": self.child.log.count(b'"trace"'),
+            "drain_s": round(self.reactor.seconds() - self.drained, 2),
+        }
+        return self.report
+
+
+if __name__ == "__main__":
+    print(orjson.dumps(Day(float(sys.argv[1]), float(sys.argv[2]), int(sys.argv[3])).run()).decode())
