--- a/limeridge/standins/day.py
+++ b/limeridge/standins/day.py
@@ -1,4 +1,6 @@
-"""`python -m limeridge.standins.day`: a short day of the stand-ins with a real instance on loopback sockets.
+"""`python -m limeridge.standins.day SECONDS RATE SEED [CODE]`: a short day of the stand-ins with a real
+instance on loopback sockets; CODE is a checkout whose instance is taken, for a comparison with another
+version.
 
 It owns the wiring of one process with all stand-ins and one child, the instance. It must never open a socket
 off loopback, and ends by itself.
@@ -8,6 +10,7 @@
 
 import os
 import random
+import resource
 import signal
 import socket
 import sys
@@ -49,9 +52,9 @@
 class Day:
     """`seconds` of traffic at `rate` txns a second, bad callers among them, and a drain at the end."""
 
-    def __init__(self, seconds: float, rate: float, seed: int) -> None:
+    def __init__(self, seconds: float, rate: float, seed: int, code: str = "") -> None:
         self.reactor: Any = the_reactor
-        self.seconds, self.rate = seconds, rate
+        self.seconds, self.rate, self.code = seconds, rate, code
         self.chance = random.Random(seed)
         self.report: dict[str, Any] = {}
         self.gone: set[str] = set()
@@ -100,7 +103,9 @@
             self.child,
             sys.executable,
             [sys.executable, "-m", "limeridge"],
-            env=os.environ | {"BALANCER_CONFIG": str(path)},
+            env=os.environ
+            | {"BALANCER_CONFIG": str(path)}
+            | ({"PYTHONPATH": self.code} if self.code else {}),
         )
         self.begun = reactor.seconds()
         reactor.callLater(0.05, self.await_ready)
@@ -151,6 +156,7 @@
         with tempfile.TemporaryDirectory() as folder:
             self.reactor.callWhenRunning(self.start, folder)
             self.reactor.run()
+        used = resource.getrusage(resource.RUSAGE_CHILDREN)
         states = [case.state for stub in self.stubs for case in stub.cases]
         self.report |= {
             "txns": len(states),
@@ -158,6 +164,8 @@
             "checks_good": self.stubs[0].checks[1],
             "reports_strange": self.node_list.strange,
             "lines_broken": [line.decode(errors="replace") for line in self.kernel.broken],
+            "instance_cpu_s": round(used.ru_utime + used.ru_stime, 3),
+            "instance_peak_mb": round(used.ru_maxrss / 1_024, 1),
             "exceptions": self.child.log.count(b'"trace"'),
             "drain_s": round(self.reactor.seconds() - self.drained, 2),
         }
@@ -165,4 +173,8 @@
 
 
 if __name__ == "__main__":
-    print(orjson.dumps(Day(float(sys.argv[1]), float(sys.argv[2]), int(sys.argv[3])).run()).decode())
+    print(
+        orjson.dumps(
+            Day(float(sys.argv[1]), float(sys.argv[2]), int(sys.argv[3]), *sys.argv[4:]).run()
+        ).decode()
+    )
