--- /dev/null
+++ b/limeridge/bgp/__init__.py
@@ -0,0 +1,1 @@
+"""BGP announcements of service addresses: a small speaker whose routes follow what the instance can serve."""
--- a/limeridge/sim/explore.py
+++ b/limeridge/sim/explore.py
@@ -10,6 +10,7 @@
 import multiprocessing
 import os
 import time
+import traceback
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
@@ -34,7 +35,11 @@
 
 def _one(job: tuple[str, int]) -> Outcome:
     """In a worker. What it leaves to the collector is freed every so often, outside of any run."""
-    return run_seed(*job)
+    try:
+        return run_seed(*job)
+    except Exception:  # of the simulator itself: the seed must not be lost with the others
+        scenario, seed = job
+        return Outcome(seed, scenario, "", 0, 0, 0, "raises", what=traceback.format_exc()[-1_500:])
 
 
 def _begin() -> None:
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -169,7 +169,7 @@
 
     def whole(self) -> bool:
         try:
-            orjson.loads(self.file)["settings"]["familyInfo"]["cpus"]
+            orjson.loads(self.file)["settings"]["classes"]
         except (ValueError, KeyError, TypeError):
             return False
         return True
