--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -171,8 +171,8 @@
     def stopped(self, now: int) -> None:
         """The process ended by itself."""
         self.closed = True
+        self.judged["stop"] += 1
         for case in self.cases.values():
-            self.judged["stop"] += 1
             if not case.answer and not case.gone:
                 raise Broken("stop", case.ask.ref, "read, and not answered when the process ended")
 
