--- a/limeridge/sim/explore.py
+++ b/limeridge/sim/explore.py
@@ -104,12 +104,17 @@
 
 
 def shrink(
-    plan: Plan, outcome: Outcome, seconds: float, told: Callable[[Plan, Outcome], None] | None = None
+    plan: Plan,
+    outcome: Outcome,
+    seconds: float,
+    most: int = 1_000_000,
+    told: Callable[[Plan, Outcome], None] | None = None,
 ) -> tuple[Plan, Outcome, int]:
-    """The smallest plan found in the time that still breaks the same rule; and how many were tried."""
+    """The smallest plan found in the time, or in `most` tries, that still breaks the same rule; and how many
+    were tried."""
     shrinker, best = Shrinker(plan, outcome.at), outcome
     until = time.monotonic() + seconds
-    while time.monotonic() < until and (smaller := shrinker.next()) is not None:
+    while shrinker.tries < most and time.monotonic() < until and (smaller := shrinker.next()) is not None:
         tried = run_plan(smaller)
         same = tried.rule == outcome.rule and tried.steps <= best.steps
         shrinker.tell(smaller, tried.at if same else None)
