--- a/limeridge/cli/main.py
+++ b/limeridge/cli/main.py
@@ -29,9 +29,8 @@
 
 def main() -> None:
     try:
-        root(standalone_mode=False)
-    except click.exceptions.Exit as done:
-        sys.exit(done.exit_code)
+        # Without its own ending, click gives the code of an Exit back.
+        sys.exit(root(standalone_mode=False) or 0)
     except click.Abort:
         sys.exit(130)
     except click.ClickException as bad:
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -364,6 +364,8 @@
             raise Broken("twice", ref, f"{event} sent twice on one link")
         case.links[command.link] = f"{event} {command.arg} {command.cursor}"
         self.note(event.lower(), ref)
+        if event in ("IODONE", "NOIO") and case.end and case.ended == self.turn:
+            return  # its end was read in this very turn, and may stand behind what the command came from
         if event == "SCHED":
             self._sched(case, command)
         elif event == "IODONE":
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -99,3 +99,18 @@
     done = command(*args)
     assert done.returncode == 2 and told in done.stderr and done.stderr.count("\n") == 1
     assert done.stderr.startswith("limeridge: ")
+
+
+def test_a_broken_rule_ends_with_1(monkeypatch: pytest.MonkeyPatch) -> None:
+    from limeridge.cli import main
+    from limeridge.cli import sim as group
+    from limeridge.sim.world import Outcome
+
+    broke = Outcome(1, "any", "d", 1, 1, 1, rule="due", what="late")
+    monkeypatch.setattr(group, "run_plan", lambda plan: broke)
+    for rule, code in (("due", 1), ("", 0)):
+        broke.rule = rule
+        monkeypatch.setattr(sys, "argv", ["limeridge", "sim", "run", "1"])
+        with pytest.raises(SystemExit) as ended:
+            main()
+        assert ended.value.code == code
