--- a/limeridge/standins/day.py
+++ b/limeridge/standins/day.py
@@ -103,9 +103,8 @@
             self.child,
             sys.executable,
             [sys.executable, "-m", "limeridge"],
-            env=os.environ
-            | {"BALANCER_CONFIG": str(path)}
-            | ({"PYTHONPATH": self.code} if self.code else {}),
+            env=os.environ | {"BALANCER_CONFIG": str(path)},
+            path=self.code or None,  # the folder comes first on the way to its modules
         )
         self.begun = reactor.seconds()
         reactor.callLater(0.05, self.await_ready)
