--- a/limeridge/sim/wires.py
+++ b/limeridge/sim/wires.py
@@ -155,8 +155,6 @@
     | Garbled
 )
 
-TICKETS = ("SYSINFO", "POST", "INFO", "POSTED")
-
 
 class Wire:
     """Both directions of one connection, what is not whole yet kept."""
