--- a/limeridge/sim/scenario.py
+++ b/limeridge/sim/scenario.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from functools import cache
 from pathlib import Path
 
@@ -16,9 +17,9 @@
 USUAL = Ranges()
 FOLDER = Path(__file__).parent / "scenarios"
 LIMITS: dict[str, tuple[float, float]] = {
-    "instances": (1, 20),
+    "instances": (1, 230),  # each has an address of its own in 127.0.20.0 and up
     "cores": (1, 64),
-    "callers": (1, 50),
+    "callers": (1, 200),
     "seconds": (0.2, 600),
     "txns": (0, 100_000),
     "work_ms": (0.1, 10_000),
@@ -74,11 +75,18 @@
     checked.number(f"{path}.at_ms", fault.at_ms, 0, seconds * 1_000)
     checked.number(f"{path}.lasts_ms", fault.lasts_ms, 0, 600_000)
     checked.number(f"{path}.lag_ms", fault.lag_ms, 0, 600_000)
+    checked.number(f"{path}.apart_ms", fault.apart_ms, 0, seconds * 1_000)
     if kind in AMOUNTS:
         checked.number(f"{path}.amount", fault.amount, *AMOUNTS[kind])
     places = message.instances if kind in AT_INSTANCE else message.callers
     if kind in AT_INSTANCE and message.HasField("instances") and fault.target >= places.least:
         raise checked.refuse(f"{path}.target", f"expected an instance below {places.least:g}")
+    if fault.count > 1 and kind not in (*AT_INSTANCE, Kind.CALLER_RESTART):
+        raise checked.refuse(f"{path}.count", f"{kind.value} has one place and can't come at several")
+    least = places.least if message.HasField("instances" if kind in AT_INSTANCE else "callers") else 1
+    if fault.count > 1 and fault.target + fault.count > least:
+        raise checked.refuse(f"{path}.count", f"expected targets below {least:g}, the fewest that there may be")
+    checked.number(f"{path}.at_ms", fault.at_ms + max(0, fault.count - 1) * fault.apart_ms, 0, seconds * 1_000)
     if (fault.far or kind in (Kind.CUT, Kind.CUT_ONE_WAY)) and fault.far not in FAR:
         raise checked.refuse(f"{path}.far", f"expected one of {', '.join(FAR)}")
     if fault.trigger and fault.trigger not in TRIGGERS:
@@ -101,7 +109,7 @@
         name=message.name,
         **{name: within(name) for name in LIMITS},
         kinds=tuple(Kind[pb.FaultKind.Name(kind)] for kind in message.kinds) or USUAL.kinds,
-        scripted=tuple(fault_of(fault) for fault in message.fault),
+        scripted=tuple(each for fault in message.fault for each in faults_of(fault)),
         quanta=tuple(message.quantum_us) or USUAL.quanta,
         ties=Ties(message.ties),
         triggered=message.triggered,
@@ -111,12 +119,18 @@
     )
 
 
-def fault_of(fault: pb.Fault) -> Fault:
+def faults_of(fault: pb.Fault) -> Iterator[Fault]:
+    """One for each of its targets."""
+    for number in range(max(1, fault.count)):
+        yield fault_of(fault, number)
+
+
+def fault_of(fault: pb.Fault, number: int) -> Fault:
     return Fault(
         Kind[pb.FaultKind.Name(fault.kind)],
-        int(fault.at_ms * MS),
+        int((fault.at_ms + number * fault.apart_ms) * MS),
         int(fault.lasts_ms * MS),
-        fault.target,
+        fault.target + number,
         fault.amount,
         fault.far,
         fault.trigger,
