--- /dev/null
+++ b/limeridge/peers/peer.py
@@ -0,0 +1,473 @@
+"""One member: what it makes of each message, and what it says when.
+
+It owns the order in which table, detector, reach and shares hear of things, and the numbers of its own
+questions. It must never open a socket, look at a clock or encode: `out` holds what is to be sent, `events`
+what is to be logged, both taken by whoever drives it. It raises on nothing that a member of the fleet may
+send.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
+
+from limeridge.peers import probing
+from limeridge.peers.members import Change, Claim, Life, Members, State
+from limeridge.peers.messages import (
+    DATAGRAM_MOST,
+    Accusal,
+    Ack,
+    Ask,
+    Message,
+    Nack,
+    Offer,
+    Ping,
+    Renew,
+    Support,
+    Table,
+)
+from limeridge.peers.reach import Grade, Reach, Stand
+from limeridge.peers.shares import NO_VIEW, Epoch, Holder, Offers, Terms, View, Voter
+
+MS = 1_000
+CLAIM_BYTES = 44  # of a claim on the wire, its texts aside, at the most
+HEAD_BYTES = 96  # of a message's other fields and its tag
+ACCUSALS_MOST = 6  # carried by one datagram
+ACCUSALS_KEPT = 256
+RELAYS_MOST = 64  # probes in hand for others
+EVENTS_MOST = 1_000  # kept until somebody takes them
+RENEWALS = 4  # askings within one lease
+PULL_EVERY = 250 * MS  # between two pulls of whole tables from the same member
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    to: Address
+    message: Message
+    stream: bool = False  # over TCP
+
+
+@dataclass(slots=True, frozen=True)
+class Event:
+    """A line for the log."""
+
+    event: str
+    code: str
+    fields: dict[str, object] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Habits:
+    """Times in microseconds."""
+
+    pace: probing.Pace = field(default_factory=probing.Pace)
+    sync: int = 10_000 * MS  # between two exchanges of whole tables
+    sync_soon: int = 1_000 * MS  # where a digest tells that tables differ
+    reach_out: int = 2_000 * MS  # between two tries to reach one who is held dead, or a seed
+    remember: int = 120_000 * MS  # that the gone are kept
+    news_room: int = DATAGRAM_MOST
+
+
+@dataclass(slots=True)
+class Relay:
+    """A probe in hand for another."""
+
+    asker: Claim
+    seq: int
+    target: str
+    until: int
+
+
+class Peer:
+    def __init__(self, own: Claim, seeds: Sequence[Address], habits: Habits, terms: Terms | None,
+                 chance: random.Random, now: int, quiet: int = 0) -> None:
+        self.habits, self.terms, self.chance = habits, terms, chance
+        self.members = Members(own)
+        self.detector = probing.Detector(self.members, chance, habits.pace, now)
+        fresh = 4 * habits.pace.interval
+        self.reach = Reach(fresh, 10 * habits.pace.interval, stand_since=now)
+        self.seeds = [seed for seed in seeds if seed != (own.host, own.port)]
+        self.voter = Voter(terms, now) if terms is not None else None
+        self.holder = Holder(terms, now, quiet) if terms is not None else None
+        self.offers = Offers(terms, own.name, own.life.nonce) if terms is not None else None
+        self.out: list[Send] = []
+        self.events: list[Event] = []
+        self.grades: dict[str, Grade] = {}
+        self.accusals: dict[Accusal, int] = {}  # how often each was told
+        self.relays: dict[int, Relay] = {}
+        self.relay_seq = 1 << 32  # apart from the detector's numbers
+        self.renew_seq = 0
+        self.renewals: dict[int, int] = {}  # open askings and when they were made
+        self.pulled: dict[str, int] = {}
+        self.next_sync = self.next_reach = self.next_renew = now
+        self.joined = not self.seeds
+        self.leaving = False
+        self.alike: set[str] = set()  # those whose digest was ours when last heard
+        self.was_yielding = False
+        self.was_why = ""
+
+    @property
+    def own(self) -> Claim:
+        return self.members.own
+
+    # ---- time
+
+    def next_at(self) -> int:
+        times = [relay.until for relay in self.relays.values()]
+        if self.leaving:  # nothing more is asked
+            return min(times, default=1 << 62)
+        if self.holder is not None:
+            times.append(self.next_renew)
+        return min([self.detector.next_at, self.next_sync, self.next_reach, *times])
+
+    def wake(self, now: int) -> None:
+        """To be called at `next_at` or soon after."""
+        if not self.leaving:
+            stalls = self.detector.stalls
+            for act in self.detector.wake(now):
+                self._act(act, now)
+            if self.detector.stalls > stalls:
+                self._tell("peers", "stood-still", stalls=self.detector.stalls)
+            if self.holder is not None and now >= self.next_renew:
+                self._renew(now)
+            if now >= self.next_reach:
+                self.next_reach = now + self.habits.reach_out
+                self._reach_out(now)
+            if now >= self.next_sync:
+                self.next_sync = now + int(self.habits.sync * self.chance.uniform(0.75, 1.25))
+                self._sync(now)
+        for seq, relay in list(self.relays.items()):
+            if now >= relay.until:
+                del self.relays[seq]
+                self._say(relay.asker, Nack(relay.seq, self.own))
+        for claim in self.members.forget(now, self.habits.remember):
+            self.reach.forget([claim.name])
+            self.grades.pop(claim.name, None)
+            self.alike.discard(claim.name)
+        self._look(now)
+
+    def leave(self, now: int) -> None:
+        """Told before a drain: to as many as a claim is told, at once, so that no round need pass."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self._changed(self.members.restate(replace(self.own, state=State.LEFT), now), now)
+        others = sorted(self.members.others(State.ALIVE, State.SUSPECT), key=lambda claim: claim.name)
+        most = self.members.tell_most()
+        for claim in self.chance.sample(others, min(len(others), most)):
+            self._say(claim, Ping(0, self.own, claim.name, self.members.digest))
+
+    # ---- probes
+
+    def _act(self, act: probing.Act, now: int) -> None:
+        if isinstance(act, probing.Probe):
+            if act.helper is not None:
+                self._say(act.helper, Ask(act.seq, self.own, act.target.name, act.target.host,
+                act.target.port))
+            else:
+                self._ping(act.target, act.seq, now)
+                if self.detector.round is not None and self.detector.round.asked_others:
+                    self.reach.of(act.target.name).unanswered = now
+        elif isinstance(act, probing.Accuse):
+            self._merge(replace(act.target, state=State.SUSPECT), now)
+            self._accuse(Accusal(act.target.name, act.target.life, act.target.incarnation, self.own.name))
+        else:
+            self._merge(replace(act.target, state=State.DEAD), now)
+
+    def _ping(self, target: Claim, seq: int, now: int) -> None:
+        first = [target.name] if target.state is not State.ALIVE else []
+        news, accusals = self._news(first)
+        self._say(target, Ping(seq, self.own, target.name, self.members.digest, news, accusals))
+
+    def _news(self, first: Iterable[str]) -> tuple[tuple[Claim, ...], tuple[Accusal, ...]]:
+        own = self.own
+        room = self.habits.news_room - HEAD_BYTES - self._size(own)
+        accusals: list[Accusal] = []
+        for accusal in sorted(self.accusals, key=lambda each: (self.accusals[each], each.name, each.by)):
+            if len(accusals) >= ACCUSALS_MOST:
+                break
+            accusals.append(accusal)
+            room -= CLAIM_BYTES + len(accusal.name) + len(accusal.by)
+            self.accusals[accusal] += 1
+            if self.accusals[accusal] >= self.members.tell_most():
+                del self.accusals[accusal]
+        return tuple(self.members.to_tell(room, CLAIM_BYTES, first)), tuple(accusals)
+
+    @staticmethod
+    def _size(claim: Claim) -> int:
+        return CLAIM_BYTES + len(claim.name) + len(claim.host) + len(claim.zone) + len(claim.version)
+
+    def _say(self, to: Claim, message: Message, stream: bool = False) -> None:
+        self.out.append(Send((to.host, to.port), message, stream))
+
+    def _reach_out(self, now: int) -> None:
+        """To one who is held dead, and to a seed while nobody is known: the way back after a cut."""
+        dead = sorted(self.members.others(State.DEAD), key=lambda claim: claim.name)
+        if dead:
+            self._ping(self.chance.choice(dead), 0, now)
+        others = len(self.members.present()) - 1
+        known = {(claim.host, claim.port) for claim in self.members.present()}
+        missing = [seed for seed in self.seeds if seed not in known]
+        if missing and (not others or self.chance.random() < 0.25):
+            self._table_to(self.chance.choice(missing), answer=True)
+
+    def _sync(self, now: int) -> None:
+        others = sorted(self.members.others(State.ALIVE), key=lambda claim: claim.name)
+        if others:
+            chosen = self.chance.choice(others)
+            self._table_to((chosen.host, chosen.port), answer=True)
+
+    def _table_to(self, to: Address, answer: bool) -> None:
+        view = self.voter.view if self.voter is not None else NO_VIEW
+        self.out.append(Send(to, Table(self.own, tuple(self.members.table.values()),
+                                       (view.epoch, tuple(sorted(view.keys))), answer), stream=True))
+
+    def _pull(self, claim: Claim, now: int, every: int) -> None:
+        if now - self.pulled.get(claim.name, -every) >= every:
+            self.pulled[claim.name] = now
+            self._table_to((claim.host, claim.port), answer=True)
+
+    # ---- what came
+
+    def heard(self, message: Message, now: int) -> Table | None:
+        """Takes a message; what is returned goes back over the stream that brought it."""
+        sender = message.own
+        self.reach.of(sender.name).heard = now
+        if sender.name == self.own.name and sender.life == self.own.life:
+            return None  # our own words, come back
+        self._merge(sender, now)
+        if isinstance(message, Ping | Ack):
+            self._take_news(message, now)
+        if isinstance(message, Ping):
+            self._answer(message, now)
+        elif isinstance(message, Ack):
+            self._acked(message, now)
+        elif isinstance(message, Nack):
+            self.detector.refused(message.seq, sender.name, now)
+        elif isinstance(message, Ask):
+            self._relay(message, now)
+        elif isinstance(message, Renew):
+            self._asked_for_share(message, now)
+        elif isinstance(message, Support):
+            self._supported(message, now)
+        elif isinstance(message, Offer):
+            self._offered(View(message.epoch, frozenset(message.keys)))
+        elif isinstance(message, Table):
+            return self._table(message, now)
+        return None
+
+    def _answer(self, ping: Ping, now: int) -> None:
+        sender = ping.own
+        if ping.seq == 0 and sender.state is State.LEFT:
+            return
+        held = self.members.get(sender.name)
+        # What we hold against it goes first, so that it can refute, or raise the number of its life.
+        first = [sender.name] if held is not None and held.overrules(sender) else []
+        news, accusals = self._news(first)
+        self._say(sender, Ack(ping.seq, self.own, self.own.name, self.members.digest, news, accusals))
+
+    def _take_news(self, message: Ping | Ack, now: int) -> None:
+        for claim in message.news:
+            self._merge(claim, now)
+        for accusal in message.accusals:
+            self._accuse(accusal)
+        name = message.own.name
+        if message.digest == self.members.digest:
+            self.alike.add(name)
+        else:
+            self.alike.discard(name)
+            # News may be on its way; what news has run out of telling, a whole table mends.
+            if not self.members.news and not self.leaving:
+                self._pull(message.own, now, self.habits.sync_soon)
+
+    def _acked(self, ack: Ack, now: int) -> None:
+        relay = self.relays.get(ack.seq)
+        if relay is not None:
+            if relay.target == ack.of:
+                del self.relays[ack.seq]
+                self._say(relay.asker, Ack(relay.seq, self.own, relay.target, self.members.digest))
+            return
+        direct = ack.of == ack.own.name
+        if self.detector.answered(ack.seq, ack.of, now):
+            seen = self.reach.of(ack.of)
+            if direct:
+                seen.answered = now
+            else:
+                seen.by_others = now
+
+    def _relay(self, ask: Ask, now: int) -> None:
+        if len(self.relays) >= RELAYS_MOST:
+            self._say(ask.own, Nack(ask.seq, self.own))
+            return
+        self.relay_seq += 1
+        wait = self.habits.pace.time_out
+        self.relays[self.relay_seq] = Relay(ask.own, ask.seq, ask.to, now + wait)
+        target = self.members.get(ask.to) or replace(ask.own, name=ask.to, host=ask.host, port=ask.port)
+        news, accusals = self._news([ask.to])
+        to = replace(target, host=ask.host, port=ask.port)
+        self._say(to, Ping(self.relay_seq, self.own, ask.to, self.members.digest, news, accusals))
+
+    def _table(self, table: Table, now: int) -> Table | None:
+        self.joined = True
+        self.detector.heard_at = now
+        for claim in table.claims:
+            self._merge(claim, now)
+        epoch, keys = table.view
+        self._offered(View(epoch, frozenset(keys)))
+        if not table.answer:
+            return None
+        view = self.voter.view if self.voter is not None else NO_VIEW
+        claims = tuple(self.members.table.values())
+        return Table(self.own, claims, (view.epoch, tuple(sorted(view.keys))), answer=False)
+
+    # ---- claims
+
+    def _merge(self, claim: Claim, now: int) -> None:
+        if claim.name == self.own.name:
+            change = self.members.answer_to(claim, now)
+            if change is not None:
+                # Somebody missed us: perhaps we are slow (Lifeguard).
+                if claim.life == self.own.life:
+                    self.detector.distrust(1)
+                self._tell("peers", "refuted" if claim.life == self.own.life else "newer-life",
+                           incarnation=self.own.incarnation, life=self.own.life.number)
+            if self.members.yields is not self.was_yielding:
+                self.was_yielding = self.members.yields
+                other = self.members.conflict
+                where = f"{other.host}:{other.port}" if other is not None else ""
+                self._tell("peers", "name-taken" if self.was_yielding else "name-free", other=where)
+            return
+        change = self.members.merge(claim, now)
+        if change is not None:
+            self._changed(change, now)
+
+    def _changed(self, change: Change, now: int) -> None:
+        self.detector.changed(change, now)
+        old, new = change.old, change.new
+        if new.state is not State.SUSPECT:
+            for accusal in [each for each in self.accusals if each.name == new.name]:
+                del self.accusals[accusal]
+        if old is not None and old.state >= State.DEAD and new.state is State.ALIVE:
+            self.reach.of(new.name).back = now
+        if old is not None and old.life != new.life:
+            seen = self.reach.of(new.name)
+            seen.answered = seen.by_others = seen.unanswered = -1
+
+    def _accuse(self, accusal: Accusal) -> None:
+        new = self.detector.accused(accusal.name, accusal.life, accusal.incarnation, accusal.by)
+        if new and len(self.accusals) < ACCUSALS_KEPT:
+            self.accusals.setdefault(accusal, 0)
+
+    # ---- shares
+
+    def share(self, now: int) -> int | None:
+        """Calls in hand that this instance may have now; None where the limit is not shared out."""
+        if self.holder is None or self.terms is None:
+            return None
+        share = self.holder.share(now)
+        present = len(self.members.present())
+        if present > self.terms.capacity + self.terms.doubles:
+            # More than the settings allow for: no promise holds, but it must not grow with their number.
+            share = min(share, self.terms.limit // present)
+        return min(share, self.terms.floor) if self.members.yields or self.leaving else share
+
+    def _voters(self) -> list[Claim]:
+        terms = self.terms
+        assert terms is not None
+        return [claim for claim in self.members.others(State.ALIVE, State.SUSPECT) if terms.votes(claim.name)]
+
+    def _renew(self, now: int) -> None:
+        terms, holder, voter, offers = self.terms, self.holder, self.voter, self.offers
+        assert terms is not None and holder is not None and voter is not None and offers is not None
+        self.next_renew = now + terms.lease // RENEWALS
+        highest = max(holder.highest(), voter.view.epoch)
+        if terms.votes(self.own.name):
+            view = offers.next(self.members.present(), voter.view, highest, holder.in_reach(now), now)
+            if view is not None and not self.members.yields:
+                self._offered(view)
+                self._spread(view)
+        self.renew_seq += 1
+        self.renewals = {seq: at for seq, at in self.renewals.items() if now - at < terms.lease}
+        self.renewals[self.renew_seq] = now
+        if terms.votes(self.own.name):
+            answer = voter.support(self._key(), now)
+            if answer is not None:
+                holder.answered(self.own.name, *answer, now)
+        for claim in self._voters():
+            self._say(claim, Renew(self.renew_seq, self.own, voter.view.epoch))
+
+    def _key(self) -> str:
+        return f"{self.own.name}/{self.own.life.nonce:x}"
+
+    def _spread(self, view: View) -> None:
+        offer = Offer(self.own, view.epoch, tuple(sorted(view.keys)))
+        size = HEAD_BYTES + self._size(self.own) + sum(len(key) + 2 for key in view.keys)
+        for claim in self._voters():
+            self._say(claim, offer, stream=size > DATAGRAM_MOST)
+
+    def _asked_for_share(self, renew: Renew, now: int) -> None:
+        voter, terms, sender = self.voter, self.terms, renew.own
+        if voter is None or terms is None or not terms.votes(self.own.name) or self.leaving:
+            return
+        if self.members.yields:
+            return  # another process votes under this name
+        answer = voter.support(f"{sender.name}/{sender.life.nonce:x}", now)
+        if answer is not None:
+            self._say(sender, Support(renew.seq, self.own, *answer))
+        self._behind(sender, renew.epoch, now)
+
+    def _supported(self, support: Support, now: int) -> None:
+        asked_at = self.renewals.get(support.seq)
+        if self.holder is not None and asked_at is not None:
+            self.holder.answered(support.own.name, support.epoch, support.cap, asked_at)
+            self._behind(support.own, support.epoch, now)
+
+    def _behind(self, other: Claim, epoch: Epoch, now: int) -> None:
+        if self.voter is not None and epoch > self.voter.view.epoch:
+            self._pull(other, now, PULL_EVERY)
+
+    def _offered(self, view: View) -> None:
+        if self.voter is not None and self.voter.offered(view):
+            self._tell("peers", "view", epoch=view.epoch[0], by=view.epoch[1], members=len(view.keys))
+
+    # ---- telling
+
+    def _look(self, now: int) -> None:
+        """Changes of grades, of the stand and of the share's reason, one line each."""
+        for claim in self.members.others(*State):
+            grade, old = self.reach.grade(claim, now), self.grades.get(claim.name)
+            if grade is not old:
+                self.grades[claim.name] = grade
+                self._tell("peer", grade.value, peer=claim.name, was=old.value if old else "",
+                           at=f"{claim.host}:{claim.port}", incarnation=claim.incarnation)
+        stand = self.reach.stand
+        if self.look(now) is not stand:
+            self._tell("peers", f"with-{self.reach.stand.value}", present=len(self.members.present()))
+        if self.holder is not None:
+            why = self.holder.why(now)
+            if why != self.was_why:
+                self.was_why = why
+                self._tell("share", why, share=self.share(now))
+
+    def look(self, now: int) -> Stand:
+        present = len(self.members.present())
+        dead = sum(1 for _ in self.members.others(State.DEAD))
+        return self.reach.look(present, present + dead, self.detector.heard_at, now)
+
+    def agree(self) -> int:
+        """How many of the others that are there had our digest when last heard."""
+        return sum(claim.name in self.alike for claim in self.members.others(State.ALIVE, State.SUSPECT))
+
+    def _tell(self, event: str, code: str, **fields: object) -> None:
+        if len(self.events) < EVENTS_MOST:
+            self.events.append(Event(event, code, fields))
+
+
+def own_claim(name: str, address: Address, unix: int, nonce: int, zone: str = "", version: str = "") -> Claim:
+    """The claim of a process that starts now; `unix` in microseconds."""
+    return Claim(name, Life(max(1, unix), nonce), 0, State.ALIVE, *address, zone, version)
--- /dev/null
+++ b/limeridge/peers/shares.py
@@ -0,0 +1,240 @@
+"""Shares of a limit that is the fleet's: how many calls each instance may have in the ledger's hands.
+
+It owns the voter's memory of views, the holder's count of supports, and who offers a new view. It must
+never look at a clock, send anything or trust a timer: a share is worked out anew for each use, from times
+on a clock that also runs while the process stands still.
+
+The limit L is split into floors, one for each process that there may be (`capacity`, and `doubles` for a
+name taken twice), which need nobody's word, and a surplus, which is dealt out by views. A view is a set of
+lives under an epoch; it gives each of its n members surplus/n. Epochs are totally ordered, and one epoch
+means one set: it names the process that made it.
+
+1. A voter supports one view at a time and only ever goes to a higher epoch. It remembers each view that it
+supported until `hold` has passed since it last did so. 2. It answers a holder with its epoch and a cap: the
+least of the holder's parts in all the views it remembers. 3. A holder uses the surplus only with answers of
+a quorum of voters under one epoch, none asked for longer ago than `lease`, and then no more than the least
+of their caps. 4. A voter that has started is silent until `hold` has passed: what it supported in an
+earlier life it can't know.
+
+The sum never exceeds the limit. At a time t, each holder's calls in hand were begun under some epoch within
+the longest time of a call. Take the lowest of these epochs, e of holder j with view V. Any other holder's
+epoch is the same, and its cap at most its part in V; or higher, and then some voter answered both, since
+two quorums share more names than may be taken twice. That voter answered j first (rule 1), less than lease
++ longest before t, and so it remembered V when it answered the other (rule 2, rule 4 where it was
+restarted): the other's cap is at most its part in V. All use at most their parts in V; these add up to the
+surplus. `hold` counts the drift of both clocks. docs/design/peers.md has it at length, with what it gives
+up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from limeridge.peers.digest import score_of
+from limeridge.peers.members import Claim, State
+
+Epoch = tuple[int, str, int]  # counter, name and nonce of the process that made it
+NO_EPOCH: Epoch = (0, "", 0)
+FLAPS_KEPT = 60_000_000  # microseconds that a member's going is held against its coming back
+FLAPS_MOST = 4  # doublings of the wait
+
+
+def key_of(claim: Claim) -> str:
+    """Of one life: a restart under the same name is another holder."""
+    return f"{claim.name}/{claim.life.nonce:x}"
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """The same at all instances. Times in microseconds."""
+
+    limit: int  # calls in hand at one time, of the whole fleet
+    capacity: int  # processes that there may be at one time, old and new ones during a replacement included
+    voters: tuple[str, ...] = ()  # names; all where empty
+    doubles: int = 1  # names that may be taken by two processes at once
+    floor_share: float = 0.5  # of the limit, kept as floors
+    lease: int = 3_000_000
+    longest: int = 2_000_000  # that a call may be in the ledger's hands, one given up or left behind included
+    settle: int = 500_000  # that the members must stand as they are before a view is made of them
+    drift: float = 0.001  # of each clock
+
+    @property
+    def floor(self) -> int:
+        return int(self.floor_share * self.limit / (self.capacity + self.doubles))
+
+    @property
+    def surplus(self) -> int:
+        return self.limit - self.floor * (self.capacity + self.doubles)
+
+    @property
+    def quorum(self) -> int:
+        """Two quorums share more than `doubles` names."""
+        return ((len(self.voters) or self.capacity) + self.doubles) // 2 + 1
+
+    @property
+    def hold(self) -> int:
+        """As long as a voter counts it, a holder's lease and its last call are surely over."""
+        return int((self.lease + self.longest) * (1 + self.drift) / (1 - self.drift)) + 1
+
+    def votes(self, name: str) -> bool:
+        return not self.voters or name in self.voters
+
+
+@dataclass(slots=True, frozen=True)
+class View:
+    epoch: Epoch
+    keys: frozenset[str]
+    _lucky: frozenset[str] | None = field(default=None, compare=False, repr=False)  # worked out once
+
+    def part(self, key: str, surplus: int) -> int:
+        """Whole calls; what is left over goes to the first in the order of their digests."""
+        if key not in self.keys:
+            return 0
+        each, over = divmod(surplus, len(self.keys))
+        return each + (key in self.lucky(over))
+
+    def lucky(self, over: int) -> frozenset[str]:
+        if self._lucky is None or len(self._lucky) != over:
+            purpose = f"{self.epoch[0]}"
+            first = sorted(self.keys, key=lambda key: (score_of(key, purpose), key))[:over]
+            object.__setattr__(self, "_lucky", frozenset(first))
+        return self._lucky or frozenset()
+
+
+NO_VIEW = View(NO_EPOCH, frozenset())
+
+
+class Voter:
+    """What one voter has promised, in memory only."""
+
+    def __init__(self, terms: Terms, now: int) -> None:
+        self.terms, self.born = terms, now
+        self.view = NO_VIEW
+        self.supported: dict[Epoch, tuple[View, int]] = {}  # and when last
+
+    def silent(self, now: int) -> bool:
+        return now < self.born + self.terms.hold
+
+    def offered(self, view: View) -> bool:
+        """True where it is taken. One already known, or behind, changes nothing."""
+        if view.epoch <= self.view.epoch:
+            return False
+        self.view = view
+        return True
+
+    def support(self, key: str, now: int) -> tuple[Epoch, int] | None:
+        """The answer to a holder's asking; None where it must keep silent."""
+        if self.silent(now):
+            return None
+        self.supported = {epoch: (view, at) for epoch, (view, at) in self.supported.items()
+                          if at + self.terms.hold > now}
+        # Also where it is no member of the view: its part is 0, and others' parts are what was promised.
+        self.supported[self.view.epoch] = self.view, now
+        return self.view.epoch, min(view.part(key, self.terms.surplus) for view, _ in self.supported.values())
+
+
+@dataclass(slots=True, frozen=True)
+class Supported:
+    epoch: Epoch
+    cap: int
+    asked_at: int
+
+
+class Holder:
+    """What one instance may use, from the answers that it got."""
+
+    def __init__(self, terms: Terms, now: int, quiet: int) -> None:
+        """`quiet`: microseconds from the start until the first call, in which what an earlier life under this
+        name left behind at the ledger is over."""
+        self.terms, self.begins = terms, now + quiet
+        self.supports: dict[str, Supported] = {}
+
+    def answered(self, voter: str, epoch: Epoch, cap: int, asked_at: int) -> None:
+        """`asked_at` is our own time at the asking: the lease runs from there."""
+        if not self.terms.votes(voter):
+            return
+        held = self.supports.get(voter)
+        if held is None or asked_at >= held.asked_at:
+            self.supports[voter] = Supported(epoch, max(0, cap), asked_at)
+
+    def _current(self, now: int) -> dict[str, Supported]:
+        return {name: each for name, each in self.supports.items()
+                if each.asked_at <= now < each.asked_at + self.terms.lease}
+
+    def in_reach(self, now: int) -> int:
+        """Voters whose answers still count, whatever their epoch."""
+        return len(self._current(now))
+
+    def epoch(self, now: int) -> Epoch | None:
+        """The highest that a quorum supports just now."""
+        counts: dict[Epoch, int] = {}
+        for each in self._current(now).values():
+            counts[each.epoch] = counts.get(each.epoch, 0) + 1
+        return max((epoch for epoch, count in counts.items() if count >= self.terms.quorum), default=None)
+
+    def surplus(self, now: int) -> int:
+        epoch = self.epoch(now)
+        if epoch is None:
+            return 0
+        return min(each.cap for each in self._current(now).values() if each.epoch == epoch)
+
+    def share(self, now: int) -> int:
+        """Calls in hand that this instance may have now. To be asked for before each call."""
+        if now < self.begins:
+            return 0
+        return self.terms.floor + self.surplus(now)
+
+    def why(self, now: int) -> str:
+        """A reason code for the share."""
+        if now < self.begins:
+            return "starting"
+        if self.epoch(now) is None:
+            return "few-voters" if self.in_reach(now) < self.terms.quorum else "voters-differ"
+        return "floor-only" if self.surplus(now) <= 0 else "dealt"
+
+    def highest(self) -> Epoch:
+        return max((each.epoch for each in self.supports.values()), default=NO_EPOCH)
+
+
+@dataclass
+class Offers:
+    """When a voter makes a new view of the members that it knows."""
+
+    terms: Terms
+    own: str  # name
+    nonce: int
+    wanted: frozenset[str] = frozenset()
+    since: int = 0
+    went: dict[str, list[int]] = field(default_factory=dict)  # by name, when it went
+
+    def next(self, present: Iterable[Claim], view: View, highest: Epoch, reach: int, now: int) -> View | None:
+        """The view to be offered, if it is ours to offer and time. `present`: those held to be there,
+        ourselves among them; `highest`: of all epochs heard of; `reach`: voters that answer us."""
+        claims = [claim for claim in present if claim.state <= State.SUSPECT]
+        keys = frozenset(key_of(claim) for claim in claims)
+        if keys != self.wanted:
+            for name in {key.rpartition("/")[0] for key in self.wanted - keys}:
+                self.went.setdefault(name, []).append(now)
+            self.wanted, self.since = keys, now
+        if keys == view.keys or not self._ours(claims) or reach < self.terms.quorum:
+            return None
+        if now < self.since + self._wait(keys - view.keys, now):
+            return None
+        return View((max(view.epoch, highest)[0] + 1, self.own, self.nonce), keys)
+
+    def _ours(self, claims: list[Claim]) -> bool:
+        """One voter has it, the same for all who know the same members: two that offer at a time only cost an
+        epoch."""
+        voters = [claim.name for claim in claims if self.terms.votes(claim.name)]
+        return bool(voters) and max(voters, key=lambda name: (score_of(name, "views"), name)) == self.own
+
+    def _wait(self, coming: frozenset[str], now: int) -> int:
+        """Longer for each time that one who comes went lately: a link that flaps must not take the newcomers'
+        wait out on all others again and again. Who goes is never waited for."""
+        for name, times in list(self.went.items()):
+            self.went[name] = [at for at in times if now - at < FLAPS_KEPT]
+            if not self.went[name]:
+                del self.went[name]
+        flaps = max((len(self.went.get(key.rpartition("/")[0], ())) for key in coming), default=0)
+        return self.terms.settle << min(FLAPS_MOST, max(0, flaps - 1))
--- a/limeridge/sim/scenario.py
+++ b/limeridge/sim/scenario.py
@@ -85,8 +85,9 @@
         raise checked.refuse(f"{path}.count", f"{kind.value} has one place and can't come at several")
     least = places.least if message.HasField("instances" if kind in AT_INSTANCE else "callers") else 1
     if fault.count > 1 and fault.target + fault.count > least:
-        raise checked.refuse(f"{path}.count", f"expected targets below {least:g}, the fewest that there may be")
-    checked.number(f"{path}.at_ms", fault.at_ms + max(0, fault.count - 1) * fault.apart_ms, 0, seconds * 1_000)
+        raise checked.refuse(f"{path}.count", f"expected targets below {least:g}, the fewest there may be")
+    last = fault.at_ms + max(0, fault.count - 1) * fault.apart_ms
+    checked.number(f"{path}.apart_ms", last, 0, seconds * 1_000, "the last one's time")
     if (fault.far or kind in (Kind.CUT, Kind.CUT_ONE_WAY)) and fault.far not in FAR:
         raise checked.refuse(f"{path}.far", f"expected one of {', '.join(FAR)}")
     if fault.trigger and fault.trigger not in TRIGGERS:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,4 +1,4 @@
-"""What the deploy file says is done as it stands there: `build` in other folders, `run` looked at from outside."""
+"""What the deploy file says, done as it stands: `build` in other folders, `run` looked at from outside."""
 
 import os
 import shutil
