--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -158,17 +158,26 @@
         self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
         self.speak_at, self.turned_away, self.read, self.unread, self.behind = now, 0, 0, 0.0, 0
         self.healthy, self.said, self.tries, self.later = False, -1.0, 0.0, 0.0
-        calls_share = float(settings.get("instance.calls_out", 0.5))
-        # A bound that no call can live under would never see one, and so never grow.
-        self.call_most, least = CALL_SHARE * calls_share, 2.5 * self.calls.linger / self.calls.window
-        least = 1.0 if self.call_most >= 1 else least
-        self.call_floor = min(self.call_most, max(CALL_FLOOR * calls_share, least))
+        self.call_most, self.call_floor = self._bounds(float(settings.get("instance.calls_out", 0.5)))
         self.call_cap, self.calls_bound = self.call_floor, False
         self.short, self.short_at = 0.0, now - CALL_STALE  # the loss of a call that lately found no room
         self.stream: Iterator[Decision] | None = None
 
+    def _bounds(self, share: float) -> tuple[float, float]:
+        """The most and the least that the bound of calls may be. One that no call can live under would never
+        see one, and so never grow."""
+        most, least = CALL_SHARE * share, 2.5 * self.calls.linger / self.calls.window
+        return most, min(most, max(CALL_FLOOR * share, 1.0 if most >= 1 else least))
+
     # ---- inputs: bookkeeping only
 
+    def share(self, now: int, calls: int) -> None:
+        """The own share of calls is another from now on: so many in hand at a time, with nothing off the top,
+        for whoever deals out whole calls has counted them."""
+        self.now = now
+        self.call_most, self.call_floor = float(calls), max(min(1.0, calls), CALL_FLOOR * calls)
+        self.call_cap = min(max(self.call_cap, self.call_floor), self.call_most)
+
     def arrived(self, now: int, ref: int, product: int, customer: int = 0, caller: int = 0, patience: int = 0,
                 age: int = 0, size_kb: float = 0.0, resent: bool = False, prior: Txn | None = None,
                 repeat: bool = False, effort: int = 0) -> Txn:
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -155,6 +155,7 @@
         self.healthy = False
         self.value: float | None = None
         self.idle_limit = int(plain.get("instance.idle", 0))
+        self.allowed: int | None = None  # calls in hand, as last told; None: the settings' own share
         self.serial = 0
         self.open: dict[int, Entry] = {}
         self.by_ref: dict[str, Entry] = {}
@@ -182,6 +183,8 @@
             return
         self.plain["instance.cold"] = cold
         self.brain = Brain(self.plain, self.seed, self.now() - ago)
+        if self.allowed is not None:
+            self.brain.share(self.now(), self.allowed)
         self.brain.woke(self.now(), 0, {})
         self._cancel_timer()
         self._pull()
@@ -258,6 +261,12 @@
         self._tell(self.brain.woke, 1, told, now=now)
         self._pull()
 
+    def allow(self, calls: int) -> None:
+        """Calls that may be in hand from now on, where the instance's share changes while it runs."""
+        if calls != self.allowed:
+            self.allowed = calls
+            self._tell(self.brain.share, calls)
+
     def guard(self) -> None:
         """Against a txn that the brain forgot: past its due time it is answered from here. The brain is asked
         first; after a pause of the machine this may come before its own wake-up."""
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory, connectionDone
@@ -23,9 +23,18 @@
 
 HEAD_MOST = 8_192  # bytes of a reply's head
 BODY_MOST = 65_536  # bytes of a reply's body
+ENDED_THERE = ("done", "unreached", "share-lapsed")  # codes of ends that leave nothing in the ledger's hands
 EARLY_MOST = 8  # replies that only announce the one to come (1xx): without end they would keep the loop busy
 
 
+class Gate(Protocol):
+    """Who bounds the calls of a whole fleet has a last word on each."""
+
+    def begin(self) -> bool: ...
+    def still(self) -> bool: ...
+    def end(self, left_behind: bool) -> None: ...
+
+
 class BadReply(Exception):
     """The reply proves nothing and the connection is of no use any more."""
 
@@ -187,7 +196,11 @@
         if self.code:
             line.transport.abortConnection()
             return
-        call = self.call
+        call, gate = self.call, self.ledger.gate
+        if gate is not None and not gate.still():  # the share may have lapsed while it was being opened
+            self.close("share-lapsed")
+            call.end(End.UNREACHED)
+            return
         line.transport.write(encode(self.ledger.host, call.ref, call.wait, call.body))
 
     def close(self, code: str) -> None:
@@ -213,6 +226,7 @@
 class Ledger:
     def __init__(self, reactor: Any, host: str, port: int, log: Log, most: int) -> None:
         self.reactor, self.host, self.port, self.log, self.most = reactor, host, port, log, most
+        self.gate: Gate | None = None
         self.waiting: deque[Call] = deque()
         self.connections = 0  # being opened ones included
 
@@ -235,6 +249,9 @@
             call = self.waiting.popleft()
             if call.over:
                 continue
+            if self.gate is not None and not self.gate.begin():
+                call.end(End.FULL)
+                continue
             self.connections += 1
             call.way = Way(self, call)
             # Without a time-out of its own: the call has one, and a timer more would cost each call.
@@ -242,6 +259,8 @@
 
     def ended(self, way: Way, code: str) -> None:
         self.connections -= 1
+        if self.gate is not None:
+            self.gate.end(left_behind=code not in ENDED_THERE)
         if way.line is not None:
             self.log.event("ledger-end", code)
         self._open()
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.error import CannotListenError
@@ -27,7 +27,7 @@
 from limeridge.facade import Answer, Blocked, Called, Do, End, Ended, Facade, Intake, Kind, News, Step
 from limeridge.net.callers import SWEEP, Callers, Decoder, close_listener
 from limeridge.net.kernel import Kernel
-from limeridge.net.ledger import Call, Ledger
+from limeridge.net.ledger import Call, Gate, Ledger
 from limeridge.net.log import Log
 from limeridge.net.nodelist import EVERY, NodeList
 
@@ -47,6 +47,17 @@
 TAKEN = ("kernel", "ledger", "node_list", "stop", "cores")  # from a new configuration; the rest is fixed
 
 
+class Peers(Protocol):
+    """Membership, where there is any: a part beside the others, that may bound the calls."""
+
+    gate: Gate
+
+    def start(self) -> None: ...
+    def share(self) -> int | None: ...
+    def leave(self) -> None: ...
+    def stop(self) -> None: ...
+
+
 class Job:
     """One txn in hand: its news in order, for the one handler that reads them."""
 
@@ -100,6 +111,15 @@
         self.exit_code = 0
         self.work_seen = False
         self.loops: list[LoopingCall] = []
+        self.peers: Peers | None = None
+
+    def join(self, peers: Peers) -> None:
+        """Before the start. Without peers nothing of this is there."""
+        self.peers = peers
+        share = peers.share()
+        if share is not None:
+            self.ledger.gate = peers.gate
+            self.facade.allow(share)
 
     def start(self) -> None:
         setup = self.setup
@@ -113,6 +133,8 @@
         self.guarded(lambda: self.reactor.listenUDP(
             0, self.node_list, interface="::" if ":" in setup.node_list.host else ""))
         self.guarded(self.kernel.connect)
+        if self.peers is not None:
+            self.guarded(self.peers.start)
         for call, every in ((self.callers.sweep, SWEEP), (self.report, EVERY),
                             (self.facade.guard, GUARD)):
             self.repeat(call, every)
@@ -250,6 +272,9 @@
     # ---- time
 
     def wake(self) -> None:
+        share = None if self.peers is None else self.peers.share()
+        if share is not None:
+            self.facade.allow(share)
         self.kernel.gauges(GAUGE_WAIT).addCallback(
             lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(self.met, "tick-fault")
 
@@ -294,6 +319,8 @@
         self.kill_at = self.reactor.seconds() + self.setup.stop / 1_000_000
         self.log.event("drain", "begun", owed=self.facade.owed(), connections=len(self.callers.connections))
         self.guarded(lambda: self.node_list.report(False))
+        if self.peers is not None:
+            self.guarded(self.peers.leave)
         self.guarded(lambda: self.facade.leave(self.setup.stop))
         # Against callers that hear of it late, while a successor is cold or not listed yet: what comes within
         # the grace may still run, so the door stays open for most of it.
@@ -328,18 +355,26 @@
         for loop in self.loops:
             if loop.running:
                 loop.stop()
+        if self.peers is not None:
+            self.guarded(self.peers.stop)
         self.kernel.stop()
         self.log.close_span()
         self.reactor.callLater(0, self.reactor.stop)
 
 
-def run(setup: Setup, reread: Callable[[], Setup]) -> int:
+def run(setup: Setup, reread: Callable[[], Setup],
+        peers: Callable[[Setup, Any, Log], Peers] | None = None) -> int:
+    """`peers` makes the part of membership; it raises Unusable where its settings don't fit the
+    instance's."""
     from twisted.internet import reactor as the_reactor
 
     reactor: Any = the_reactor
     # Timers must not follow Unix time, which may step back and hold them up.
     reactor.seconds = time.monotonic
-    instance = Instance(setup, reactor, Log(setup.name), reread)
+    log = Log(setup.name)
+    instance = Instance(setup, reactor, log, reread)
+    if peers is not None:
+        instance.join(peers(setup, reactor, log))
     for notice, taken in instance.notices().items():
         signal.signal(notice, lambda *_, taken=taken: reactor.callFromThread(taken))
     # Begun, as Twisted keeps 65,536 events for whoever begins later, with all that they hold on to.
--- /dev/null
+++ b/limeridge/peers/gate.py
@@ -0,0 +1,50 @@
+"""The last look before a call goes out: whether the share that holds now has room for it.
+
+It owns the count of calls that may be in the ledger's hands, those left behind there among them. It must
+never keep a share: it asks for it anew each time, since the process may have stood still since it last did.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+
+class Gate:
+    """`share` gives the calls in hand allowed now, or None for any number; `clock` is in microseconds and
+    runs on while the process stands still; `linger` is how long the ledger keeps a call that its caller
+    left."""
+
+    def __init__(self, share: Callable[[], int | None], clock: Callable[[], int], linger: int) -> None:
+        self.share, self.clock, self.linger = share, clock, linger
+        self.out = 0
+        self.lingering: deque[int] = deque()  # when each is over
+        self.turned_away = self.lapsed = 0
+
+    def in_hand(self) -> int:
+        now = self.clock()
+        while self.lingering and self.lingering[0] <= now:
+            self.lingering.popleft()
+        return self.out + len(self.lingering)
+
+    def begin(self) -> bool:
+        """Before a connection is opened; True counts the call."""
+        share = self.share()
+        if share is not None and self.in_hand() + 1 > share:
+            self.turned_away += 1
+            return False
+        self.out += 1
+        return True
+
+    def still(self) -> bool:
+        """Once the connection stands, right before the call is written: opening it took time."""
+        share = self.share()
+        if share is not None and self.in_hand() > share:
+            self.lapsed += 1
+            return False
+        return True
+
+    def end(self, left_behind: bool) -> None:
+        self.out = max(0, self.out - 1)
+        if left_behind:
+            self.lingering.append(self.clock() + self.linger)
--- /dev/null
+++ b/limeridge/peers/link.py
@@ -0,0 +1,380 @@
+"""The sockets of a member: datagrams, tables over TCP, the read-only socket that shows what is held, the
+timer.
+
+It owns bytes, their bounds and their counts. It must never decide anything of members or shares, and a peer
+must never cost a txn its time: what comes in is bounded a second, what is not ours is dropped at its tag,
+what goes out has no queue but the kernel's.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import time
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory, connectionDone
+from twisted.protocols.basic import Int32StringReceiver, LineReceiver
+from twisted.python.failure import Failure
+
+from limeridge import __version__
+from limeridge.config import Setup, Unusable
+from limeridge.peers.gate import Gate
+from limeridge.peers.members import Claim
+from limeridge.peers.messages import DATAGRAM_MOST, STREAM_MOST, Foreign, Message, Table, decode, encode
+from limeridge.peers.peer import Address, Peer, own_claim
+from limeridge.peers.setup import PeerSetup
+
+MS = 1_000
+IN_MOST = 2_000  # datagrams taken a second; what is more is dropped, as a full socket would
+STREAMS_MOST = 16  # connections for tables at once, each way
+STREAM_WAIT = 2.0  # seconds that one may last
+EVENTS_KEPT = 200  # for `limeridge peers events`
+LISTEN_EVERY, LISTEN_TRIES = 0.05, 100  # as for callers: a predecessor may still be dying
+LINE_MOST = 256
+
+
+def boot_time() -> int:
+    """Microseconds on the clock that also runs while the process, or the machine, stands still."""
+    clock = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+    return time.clock_gettime_ns(clock) // 1_000
+
+
+class Datagrams(DatagramProtocol):
+    noisy = False
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def datagramReceived(self, data: bytes, addr: Any) -> None:
+        self.link.datagram(data)
+
+    def connectionRefused(self) -> None:
+        return
+
+
+class Stream(Int32StringReceiver):
+    """One exchange of tables."""
+
+    MAX_LENGTH = STREAM_MOST
+    transport: Any
+
+    def __init__(self, link: Link, message: Message | None) -> None:
+        self.link, self.message = link, message
+        self.code = ""
+        self.timer: Any = None
+
+    def connectionMade(self) -> None:
+        self.timer = self.link.reactor.callLater(STREAM_WAIT, self.end, "slow")
+        if self.message is not None:
+            self.put(encode(self.message, self.link.key))
+            if not getattr(self.message, "answer", False):
+                self.code = "done"
+                self.transport.loseConnection()
+
+    def put(self, data: bytes) -> None:
+        self.sendString(data)  # type: ignore[no-untyped-call]
+
+    def stringReceived(self, data: bytes) -> None:
+        if self.code:
+            return
+        answer = self.link.streamed(data)
+        if answer is not None:
+            self.put(encode(answer, self.link.key))
+        self.code = "done"
+        self.transport.loseConnection()
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        self.end("too-long")
+
+    def end(self, code: str) -> None:
+        self.code = self.code or code
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.link.ended(self, self.code or "broke")
+
+
+class Streams(Factory):
+    noisy = False
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def buildProtocol(self, addr: Any) -> Stream | None:
+        if self.link.streams_in >= STREAMS_MOST:
+            self.link.counts["stream-crowd"] += 1
+            return None
+        self.link.streams_in += 1
+        return Stream(self.link, None)
+
+
+class Way(ClientFactory):
+    noisy = False
+
+    def __init__(self, link: Link, message: Message) -> None:
+        self.link, self.message = link, message
+
+    def buildProtocol(self, addr: Any) -> Stream:
+        return Stream(self.link, self.message)
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self.link.streams_out -= 1
+        self.link.counts["stream-unreached"] += 1
+
+
+class Shown(LineReceiver):
+    """One question on the read-only socket: `show` or `events`, answered by one JSON line."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = LINE_MOST
+    transport: Any
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def lineReceived(self, line: bytes) -> None:
+        asked = line.strip()
+        if asked == b"show":
+            told: object = self.link.snapshot()
+        elif asked == b"events":
+            told = list(self.link.kept)
+        else:
+            told = {"error": "expected show or events"}
+        self.transport.write(orjson.dumps(told, default=str) + b"\n")
+        self.transport.loseConnection()
+
+
+class ShownFactory(Factory):
+    noisy = False
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def buildProtocol(self, addr: Any) -> Shown:
+        return Shown(self.link)
+
+
+class Link:
+    """A member on sockets. `setup` is the instance's own configuration, `peers` the file of membership."""
+
+    def __init__(self, setup: Setup, peers: PeerSetup, reactor: Any, log: Any,
+                 clock: Callable[[], int] = boot_time, unix: Callable[[], float] = time.time,
+                 draw: Callable[[], int] | None = None) -> None:
+        """Raises Unusable where the two don't go together."""
+        self.setup, self.reactor, self.log, self.clock, self.key = setup, reactor, log, clock, peers.key
+        self.show = peers.show
+        # Nonces must differ between processes that were given the same seed.
+        nonce = draw() if draw is not None else int.from_bytes(os.urandom(7), "big")
+        chance = random.Random(setup.seed ^ nonce)
+        host, port = peers.listen
+        self.listen: Address = host or setup.listen.host, port
+        linger, terms = self._terms(setup, peers)
+        own = own_claim(setup.name, peers.advertise or self.listen, int(unix() * 1e6), nonce, peers.zone,
+                        __version__)
+        self.peer = Peer(own, peers.seeds, peers.habits, terms, chance, clock(), quiet=linger)
+        self.gate = Gate(self.share, clock, linger)
+        self.counts: Counter[str] = Counter()
+        self.kept: deque[dict[str, object]] = deque(maxlen=EVENTS_KEPT)
+        self.streams_in = self.streams_out = 0
+        self.second, self.taken = 0, 0
+        self.timer: Any = None
+        self.datagrams: Any = None
+        self.ports: list[Any] = []
+        self.stopped = False
+
+    @staticmethod
+    def _terms(setup: Setup, peers: PeerSetup) -> tuple[int, Any]:
+        plain: Mapping[str, Any] = setup.plain
+        linger = peers.linger if peers.linger >= 0 else int(plain.get("instance.linger", 200_000))
+        if peers.terms is None:
+            return linger, None
+        most = max(int(plain.get(f"products.{number}.expiry", 0)) for number in range(len(setup.products)))
+        longest = most + linger
+        if peers.longest_told and peers.terms.longest < longest:
+            raise Unusable(f"peers: shares.longest_ms: expected {longest / MS:g} or more, the longest "
+                           "deadline and what the ledger keeps after it")
+        return linger, replace(peers.terms, longest=max(peers.terms.longest, longest))
+
+    # ---- what the instance sees
+
+    def start(self) -> None:
+        self._listen(LISTEN_TRIES)
+        if self.show:
+            self._listen_to_show()
+        own, (host, port) = self.peer.own, self.listen
+        self.log.event("peers", "start", at=f"{host}:{port}", life=own.life.number,
+                       seeds=len(self.peer.seeds), shares=self.peer.terms is not None)
+        self._turn()
+
+    def share(self) -> int | None:
+        return self.peer.share(self.clock())
+
+    def leave(self) -> None:
+        self.peer.leave(self.clock())
+        self._turn()
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        for port in self.ports:
+            port.stopListening()
+
+    # ---- sockets
+
+    def _listen(self, tries: int) -> None:
+        if self.stopped:
+            return
+        host, port = self.listen
+        made: list[Any] = []
+        try:
+            datagrams = Datagrams(self)
+            made.append(self.reactor.listenUDP(port, datagrams, interface=host, maxPacketSize=65_536))
+            made.append(self.reactor.listenTCP(port, Streams(self), STREAMS_MOST, host))
+        except CannotListenError as trouble:
+            for each in made:
+                each.stopListening()
+            self.log.event("peers", "address-taken", why=str(trouble), tries_left=tries)
+            if tries:
+                self.reactor.callLater(LISTEN_EVERY, self._listen, tries - 1)
+            return
+        self.datagrams = datagrams
+        self.ports += made
+
+    def _listen_to_show(self) -> None:
+        path = Path(self.show.replace("%n", self.setup.name))
+        try:
+            if path.is_socket():
+                path.unlink()  # of an earlier life
+            self.ports.append(self.reactor.listenUNIX(str(path), ShownFactory(self), mode=0o600))
+        except (OSError, CannotListenError) as trouble:
+            self.log.event("peers", "show-unusable", why=str(trouble))
+
+    def datagram(self, data: bytes) -> None:
+        second = self.clock() // 1_000_000
+        if second != self.second:
+            self.second, self.taken = second, 0
+        try:
+            message = decode(data, self.key)
+        except Foreign as foreign:
+            self.counts[f"foreign-{foreign}"] += 1
+            return
+        self.taken += 1  # what is not ours does not eat up the room of what is
+        if self.taken > IN_MOST:
+            self.counts["over-rate"] += 1
+            return
+        self._heard(message)
+
+    def streamed(self, data: bytes) -> Table | None:
+        try:
+            message = decode(data, self.key)
+        except Foreign as foreign:
+            self.counts[f"foreign-{foreign}"] += 1
+            return None
+        return self._heard(message)
+
+    def _heard(self, message: Message) -> Table | None:
+        self.counts["heard"] += 1
+        answer = None
+        try:
+            answer = self.peer.heard(message, self.clock())
+        except Exception as trouble:  # a defect in what a member made of it: others' words still count
+            self.log.fault("peers-fault", trouble)
+        self._turn()
+        return answer
+
+    def ended(self, stream: Stream, code: str) -> None:
+        if stream.message is None:
+            self.streams_in -= 1
+        else:
+            self.streams_out -= 1
+        self.counts[f"stream-{code}"] += 1
+
+    def _send(self, to: Address, message: Message, stream: bool) -> None:
+        if stream:
+            if self.streams_out >= STREAMS_MOST:
+                self.counts["stream-held"] += 1
+                return
+            self.streams_out += 1
+            self.reactor.connectTCP(*to, Way(self, message), timeout=STREAM_WAIT,
+                                    bindAddress=(self.listen[0], 0))
+            return
+        data = encode(message, self.key)
+        if len(data) > DATAGRAM_MOST:
+            self.counts["too-long"] += 1
+            return
+        if self.datagrams is not None and self.datagrams.transport is not None:
+            try:
+                self.datagrams.transport.write(data, to)
+            except OSError:
+                self.counts["unsent"] += 1
+                return
+        self.counts["sent"] += 1
+        self.counts["bytes"] += len(data)
+
+    # ---- time
+
+    def _turn(self) -> None:
+        """Sends and logs what there is, and sets the timer."""
+        peer = self.peer
+        out, peer.out = peer.out, []
+        for send in out:
+            self._send(send.to, send.message, send.stream)
+        events, peer.events = peer.events, []
+        for event in events:
+            line: dict[str, object] = {"t": round(time.time(), 3), "event": event.event, "code": event.code}
+            self.kept.append(line | event.fields)
+            self.log.event(event.event, event.code, **event.fields)
+        if self.stopped:
+            return
+        wait = max(0.001, (peer.next_at() - self.clock()) / 1e6)
+        if self.timer is not None and self.timer.active():
+            self.timer.reset(wait)
+        else:
+            self.timer = self.reactor.callLater(wait, self._wake)
+
+    def _wake(self) -> None:
+        try:
+            self.peer.wake(self.clock())
+        except Exception as trouble:
+            self.log.fault("peers-fault", trouble)
+        self._turn()
+
+    # ---- showing
+
+    def snapshot(self) -> dict[str, object]:
+        peer, now = self.peer, self.clock()
+        members = [self._shown(claim, now) for _, claim in sorted(peer.members.table.items())]
+        told: dict[str, object] = {
+            "name": peer.own.name, "life": peer.own.life.number, "stand": peer.reach.stand.value,
+            "stand_for_s": round((now - peer.reach.stand_since) / 1e6, 1),
+            "present": len(peer.members.present()), "agree": peer.agree(), "doubt": peer.detector.doubt,
+            "stalls": peer.detector.stalls,
+            "name_taken": peer.members.yields, "members": members, "counts": dict(self.counts)}
+        if peer.holder is not None and peer.voter is not None and peer.terms is not None:
+            told["share"] = {
+                "calls": peer.share(now), "why": peer.holder.why(now), "in_hand": self.gate.in_hand(),
+                "floor": peer.terms.floor, "limit": peer.terms.limit, "epoch": peer.voter.view.epoch[0],
+                "view": len(peer.voter.view.keys), "voters": peer.holder.in_reach(now),
+                "quorum": peer.terms.quorum, "silent": peer.voter.silent(now),
+                "turned_away": self.gate.turned_away, "lapsed": self.gate.lapsed}
+        return told
+
+    def _shown(self, claim: Claim, now: int) -> dict[str, object]:
+        peer = self.peer
+        own = claim.name == peer.own.name
+        return {
+            "name": claim.name, "grade": "self" if own else peer.reach.grade(claim, now).value,
+            "state": claim.state.name.lower(), "life": claim.life.number, "incarnation": claim.incarnation,
+            "at": f"{claim.host}:{claim.port}", "zone": claim.zone, "version": claim.version,
+            "for_s": round((now - peer.members.since.get(claim.name, now)) / 1e6, 1),
+            "agrees": own or claim.name in peer.alike}
