--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -166,9 +166,16 @@
 class Link:
     """A member on sockets. `setup` is the instance's own configuration, `peers` the file of membership."""
 
-    def __init__(self, setup: Setup, peers: PeerSetup, reactor: Any, log: Any,
-                 clock: Callable[[], int] = boot_time, unix: Callable[[], float] = time.time,
-                 draw: Callable[[], int] | None = None) -> None:
+    def __init__(
+        self,
+        setup: Setup,
+        peers: PeerSetup,
+        reactor: Any,
+        log: Any,
+        clock: Callable[[], int] = boot_time,
+        unix: Callable[[], float] = time.time,
+        draw: Callable[[], int] | None = None,
+    ) -> None:
         """Raises Unusable where the two don't go together."""
         self.setup, self.reactor, self.log, self.clock, self.key = setup, reactor, log, clock, peers.key
         self.show = peers.show
@@ -178,8 +185,9 @@
         host, port = peers.listen
         self.listen: Address = host or setup.listen.host, port
         linger, terms = self._terms(setup, peers)
-        own = own_claim(setup.name, peers.advertise or self.listen, int(unix() * 1e6), nonce, peers.zone,
-                        __version__)
+        own = own_claim(
+            setup.name, peers.advertise or self.listen, int(unix() * 1e6), nonce, peers.zone, __version__
+        )
         self.peer = Peer(own, peers.seeds, peers.habits, terms, chance, clock(), quiet=linger)
         self.gate = Gate(self.share, clock, linger)
         self.counts: Counter[str] = Counter()
@@ -200,8 +208,10 @@
         most = max(int(plain.get(f"products.{number}.expiry", 0)) for number in range(len(setup.products)))
         longest = most + linger
         if peers.longest_told and peers.terms.longest < longest:
-            raise Unusable(f"peers: shares.longest_ms: expected {longest / MS:g} or more, the longest "
-                           "deadline and what the ledger keeps after it")
+            raise Unusable(
+                f"peers: shares.longest_ms: expected {longest / MS:g} or more, the longest "
+                "deadline and what the ledger keeps after it"
+            )
         return linger, replace(peers.terms, longest=max(peers.terms.longest, longest))
 
     # ---- what the instance sees
@@ -211,8 +221,14 @@
         if self.show:
             self._listen_to_show()
         own, (host, port) = self.peer.own, self.listen
-        self.log.event("peers", "start", at=f"{host}:{port}", life=own.life.number,
-                       seeds=len(self.peer.seeds), shares=self.peer.terms is not None)
+        self.log.event(
+            "peers",
+            "start",
+            at=f"{host}:{port}",
+            life=own.life.number,
+            seeds=len(self.peer.seeds),
+            shares=self.peer.terms is not None,
+        )
         self._turn()
 
     def share(self) -> int | None:
@@ -305,8 +321,9 @@
                 self.counts["stream-held"] += 1
                 return
             self.streams_out += 1
-            self.reactor.connectTCP(*to, Way(self, message), timeout=STREAM_WAIT,
-                                    bindAddress=(self.listen[0], 0))
+            self.reactor.connectTCP(
+                *to, Way(self, message), timeout=STREAM_WAIT, bindAddress=(self.listen[0], 0)
+            )
             return
         data = encode(message, self.key)
         if len(data) > DATAGRAM_MOST:
@@ -355,26 +372,47 @@
         peer, now = self.peer, self.clock()
         members = [self._shown(claim, now) for _, claim in sorted(peer.members.table.items())]
         told: dict[str, object] = {
-            "name": peer.own.name, "life": peer.own.life.number, "stand": peer.reach.stand.value,
+            "name": peer.own.name,
+            "life": peer.own.life.number,
+            "stand": peer.reach.stand.value,
             "stand_for_s": round((now - peer.reach.stand_since) / 1e6, 1),
-            "present": len(peer.members.present()), "agree": peer.agree(), "doubt": peer.detector.doubt,
+            "present": len(peer.members.present()),
+            "agree": peer.agree(),
+            "doubt": peer.detector.doubt,
             "stalls": peer.detector.stalls,
-            "name_taken": peer.members.yields, "members": members, "counts": dict(self.counts)}
+            "name_taken": peer.members.yields,
+            "members": members,
+            "counts": dict(self.counts),
+        }
         if peer.holder is not None and peer.voter is not None and peer.terms is not None:
             told["share"] = {
-                "calls": peer.share(now), "why": peer.holder.why(now), "in_hand": self.gate.in_hand(),
-                "floor": peer.terms.floor, "limit": peer.terms.limit, "epoch": peer.voter.view.epoch[0],
-                "view": len(peer.voter.view.keys), "voters": peer.holder.in_reach(now),
-                "quorum": peer.terms.quorum, "silent": peer.voter.silent(now),
-                "turned_away": self.gate.turned_away, "lapsed": self.gate.lapsed}
+                "calls": peer.share(now),
+                "why": peer.holder.why(now),
+                "in_hand": self.gate.in_hand(),
+                "floor": peer.terms.floor,
+                "limit": peer.terms.limit,
+                "epoch": peer.voter.view.epoch[0],
+                "view": len(peer.voter.view.keys),
+                "voters": peer.holder.in_reach(now),
+                "quorum": peer.terms.quorum,
+                "silent": peer.voter.silent(now),
+                "turned_away": self.gate.turned_away,
+                "lapsed": self.gate.lapsed,
+            }
         return told
 
     def _shown(self, claim: Claim, now: int) -> dict[str, object]:
         peer = self.peer
         own = claim.name == peer.own.name
         return {
-            "name": claim.name, "grade": "self" if own else peer.reach.grade(claim, now).value,
-            "state": claim.state.name.lower(), "life": claim.life.number, "incarnation": claim.incarnation,
-            "at": f"{claim.host}:{claim.port}", "zone": claim.zone, "version": claim.version,
+            "name": claim.name,
+            "grade": "self" if own else peer.reach.grade(claim, now).value,
+            "state": claim.state.name.lower(),
+            "life": claim.life.number,
+            "incarnation": claim.incarnation,
+            "at": f"{claim.host}:{claim.port}",
+            "zone": claim.zone,
+            "version": claim.version,
             "for_s": round((now - peer.members.since.get(claim.name, now)) / 1e6, 1),
-            "agrees": own or claim.name in peer.alike}
+            "agrees": own or claim.name in peer.alike,
+        }
--- a/limeridge/peers/members.py
+++ b/limeridge/peers/members.py
@@ -157,8 +157,13 @@
     def forget(self, now: int, after: int) -> list[Claim]:
         """Drops those who have been gone for `after` microseconds. A life that comes up again later, out of
         some table that kept it, is news of one who is gone and hurts nobody."""
-        old = [claim for claim in self.table.values() if claim.state >= State.DEAD
-               and claim.name != self.own.name and now - self.since[claim.name] >= after]
+        old = [
+            claim
+            for claim in self.table.values()
+            if claim.state >= State.DEAD
+            and claim.name != self.own.name
+            and now - self.since[claim.name] >= after
+        ]
         for claim in old:
             del self.table[claim.name], self.since[claim.name]
             self.news.pop(claim.name, None)
@@ -194,8 +199,10 @@
         """Up to `room` bytes of news at `size` and its texts' lengths each, those of `first` ahead, then the
         least told; each counts as told."""
         ahead = [name for name in first if name in self.table]
-        rest = sorted((news for name, news in self.news.items() if name not in ahead),
-                      key=lambda news: (news.told, news.claim.name))
+        rest = sorted(
+            (news for name, news in self.news.items() if name not in ahead),
+            key=lambda news: (news.told, news.claim.name),
+        )
         chosen: list[Claim] = []
         for claim in [*(self.table[name] for name in ahead), *(news.claim for news in rest)]:
             takes = size + len(claim.name) + len(claim.host) + len(claim.zone) + len(claim.version)
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -84,8 +84,16 @@
 
 
 class Peer:
-    def __init__(self, own: Claim, seeds: Sequence[Address], habits: Habits, terms: Terms | None,
-                 chance: random.Random, now: int, quiet: int = 0) -> None:
+    def __init__(
+        self,
+        own: Claim,
+        seeds: Sequence[Address],
+        habits: Habits,
+        terms: Terms | None,
+        chance: random.Random,
+        now: int,
+        quiet: int = 0,
+    ) -> None:
         self.habits, self.terms, self.chance = habits, terms, chance
         self.members = Members(own)
         self.detector = probing.Detector(self.members, chance, habits.pace, now)
@@ -167,8 +175,9 @@
     def _act(self, act: probing.Act, now: int) -> None:
         if isinstance(act, probing.Probe):
             if act.helper is not None:
-                self._say(act.helper, Ask(act.seq, self.own, act.target.name, act.target.host,
-                act.target.port))
+                self._say(
+                    act.helper, Ask(act.seq, self.own, act.target.name, act.target.host, act.target.port)
+                )
             else:
                 self._ping(act.target, act.seq, now)
                 if self.detector.round is not None and self.detector.round.asked_others:
@@ -224,8 +233,18 @@
 
     def _table_to(self, to: Address, answer: bool) -> None:
         view = self.voter.view if self.voter is not None else NO_VIEW
-        self.out.append(Send(to, Table(self.own, tuple(self.members.table.values()),
-                                       (view.epoch, tuple(sorted(view.keys))), answer), stream=True))
+        self.out.append(
+            Send(
+                to,
+                Table(
+                    self.own,
+                    tuple(self.members.table.values()),
+                    (view.epoch, tuple(sorted(view.keys))),
+                    answer,
+                ),
+                stream=True,
+            )
+        )
 
     def _pull(self, claim: Claim, now: int, every: int) -> None:
         if now - self.pulled.get(claim.name, -every) >= every:
@@ -334,8 +353,12 @@
                 # Somebody missed us: perhaps we are slow (Lifeguard).
                 if claim.life == self.own.life:
                     self.detector.distrust(1)
-                self._tell("peers", "refuted" if claim.life == self.own.life else "newer-life",
-                           incarnation=self.own.incarnation, life=self.own.life.number)
+                self._tell(
+                    "peers",
+                    "refuted" if claim.life == self.own.life else "newer-life",
+                    incarnation=self.own.incarnation,
+                    life=self.own.life.number,
+                )
             if self.members.yields is not self.was_yielding:
                 self.was_yielding = self.members.yields
                 other = self.members.conflict
@@ -443,8 +466,14 @@
             grade, old = self.reach.grade(claim, now), self.grades.get(claim.name)
             if grade is not old:
                 self.grades[claim.name] = grade
-                self._tell("peer", grade.value, peer=claim.name, was=old.value if old else "",
-                           at=f"{claim.host}:{claim.port}", incarnation=claim.incarnation)
+                self._tell(
+                    "peer",
+                    grade.value,
+                    peer=claim.name,
+                    was=old.value if old else "",
+                    at=f"{claim.host}:{claim.port}",
+                    incarnation=claim.incarnation,
+                )
         stand = self.reach.stand
         if self.look(now) is not stand:
             self._tell("peers", f"with-{self.reach.stand.value}", present=len(self.members.present()))
--- a/limeridge/peers/probing.py
+++ b/limeridge/peers/probing.py
@@ -199,13 +199,17 @@
         return None
 
     def _ask_others(self, current: Round) -> list[Act]:
-        helpers = sorted((claim for claim in self.members.others(State.ALIVE)
-                          if claim.name != current.target.name), key=lambda claim: claim.name)
+        helpers = sorted(
+            (claim for claim in self.members.others(State.ALIVE) if claim.name != current.target.name),
+            key=lambda claim: claim.name,
+        )
         chosen = self.chance.sample(helpers, min(self.pace.helpers, len(helpers)))
         current.asked_others, current.asked = True, len(chosen)
         # Straight once more as well: the first one, or its answer, may have been lost.
-        return [Probe(current.seq, current.target), *(Probe(current.seq, current.target, helper)
-                                                     for helper in chosen)]
+        return [
+            Probe(current.seq, current.target),
+            *(Probe(current.seq, current.target, helper) for helper in chosen),
+        ]
 
     def _end_round(self, now: int) -> list[Act]:
         current, self.round = self.round, None
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -134,12 +134,17 @@
 
 
 def _terms(shares: pb.Shares) -> Terms:
-    return Terms(limit=shares.limit, capacity=shares.capacity, voters=tuple(shares.voter),
-                 doubles=shares.doubles if shares.HasField("doubles") else 1,
-                 floor_share=shares.floor_share if shares.HasField("floor_share") else 0.5,
-                 lease=int((shares.lease_ms or 3_000) * MS), longest=int((shares.longest_ms or 2_000) * MS),
-                 settle=int((shares.settle_ms or 500) * MS),
-                 drift=shares.drift if shares.HasField("drift") else 0.001)
+    return Terms(
+        limit=shares.limit,
+        capacity=shares.capacity,
+        voters=tuple(shares.voter),
+        doubles=shares.doubles if shares.HasField("doubles") else 1,
+        floor_share=shares.floor_share if shares.HasField("floor_share") else 0.5,
+        lease=int((shares.lease_ms or 3_000) * MS),
+        longest=int((shares.longest_ms or 2_000) * MS),
+        settle=int((shares.settle_ms or 500) * MS),
+        drift=shares.drift if shares.HasField("drift") else 0.001,
+    )
 
 
 def setup_of(message: pb.Peers) -> PeerSetup:
@@ -147,13 +152,23 @@
     time_out = int(message.time_out_ms * MS) or int(0.3 * interval)
     late = max(interval // 2, 50 * MS)
     pace = Pace(interval=interval, time_out=time_out, helpers=message.helpers or 3, late=late)
-    habits = Habits(pace, sync=int(message.sync_ms * MS) or 10 * interval, sync_soon=interval,
-                    reach_out=2 * interval, remember=int((message.remember_ms or 120_000) * MS))
+    habits = Habits(
+        pace,
+        sync=int(message.sync_ms * MS) or 10 * interval,
+        sync_soon=interval,
+        reach_out=2 * interval,
+        remember=int((message.remember_ms or 120_000) * MS),
+    )
     shares = message.shares if message.HasField("shares") else None
     return PeerSetup(
-        _plain(message.listen), _plain(message.advertise) if message.advertise else None, message.zone,
-        tuple(map(_plain, message.seed)), message.show,
-        key_of(message.fleet, Path(message.key_file).read_bytes().strip()), habits,
+        _plain(message.listen),
+        _plain(message.advertise) if message.advertise else None,
+        message.zone,
+        tuple(map(_plain, message.seed)),
+        message.show,
+        key_of(message.fleet, Path(message.key_file).read_bytes().strip()),
+        habits,
         _terms(shares) if shares is not None else None,
         int(shares.linger_ms * MS) if shares is not None and shares.linger_ms else -1,
-        shares is not None and shares.longest_ms > 0)
+        shares is not None and shares.longest_ms > 0,
+    )
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -127,8 +127,9 @@
         """The answer to a holder's asking; None where it must keep silent."""
         if self.silent(now):
             return None
-        self.supported = {epoch: (view, at) for epoch, (view, at) in self.supported.items()
-                          if at + self.terms.hold > now}
+        self.supported = {
+            epoch: (view, at) for epoch, (view, at) in self.supported.items() if at + self.terms.hold > now
+        }
         # Also where it is no member of the view: its part is 0, and others' parts are what was promised.
         self.supported[self.view.epoch] = self.view, now
         return self.view.epoch, min(view.part(key, self.terms.surplus) for view, _ in self.supported.values())
@@ -159,8 +160,11 @@
             self.supports[voter] = Supported(epoch, max(0, cap), asked_at)
 
     def _current(self, now: int) -> dict[str, Supported]:
-        return {name: each for name, each in self.supports.items()
-                if each.asked_at <= now < each.asked_at + self.terms.lease}
+        return {
+            name: each
+            for name, each in self.supports.items()
+            if each.asked_at <= now < each.asked_at + self.terms.lease
+        }
 
     def in_reach(self, now: int) -> int:
         """Voters whose answers still count, whatever their epoch."""
--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -27,8 +27,21 @@
 MS = 1_000
 SECOND = 1_000_000
 UNIX = 1_764_576_000 * SECOND
-KINDS = ("kill", "pause", "cut", "one-way", "islands", "flap", "loss", "slow", "step", "double", "garble",
-         "all", "replace")
+KINDS = (
+    "kill",
+    "pause",
+    "cut",
+    "one-way",
+    "islands",
+    "flap",
+    "loss",
+    "slow",
+    "step",
+    "double",
+    "garble",
+    "all",
+    "replace",
+)
 
 
 # Where one of these comes, a live member may be held dead for good reason, and is not counted.
@@ -141,6 +154,7 @@
 
     def work(self) -> None:
         """As many calls as the share allows, each as long as one may be."""
+
         def begin() -> None:
             now, fleet = self.fleet.now, self.fleet
             terms = fleet.setting.terms
@@ -211,8 +225,9 @@
             return
         process.alive = False
         # The ledger sees the end of the connection, and keeps the call for a while yet.
-        self.left_behind += [min(end, self.now + self.setting.linger) for end in process.in_hand
-                             if end > self.now]
+        self.left_behind += [
+            min(end, self.now + self.setting.linger) for end in process.in_hand if end > self.now
+        ]
         process.in_hand = []
         if self.by_host.get(process.host) is process:
             del self.by_host[process.host]
@@ -325,8 +340,9 @@
 
     def _cut(self, trouble: Trouble) -> Callable[[], None]:
         inside, outside = self._sides(trouble)
-        return self._sever((a, b) for one in inside for other in outside
-                           for a, b in ((one, other), (other, one)))
+        return self._sever(
+            (a, b) for one in inside for other in outside for a, b in ((one, other), (other, one))
+        )
 
     def _sides(self, trouble: Trouble) -> tuple[list[str], list[str]]:
         hosts = [self.host(number) for number in range(self.setting.members)]
@@ -338,13 +354,18 @@
         return self._sever((one, other) for one in inside for other in outside)
 
     def _islands(self, trouble: Trouble) -> Callable[[], None]:
-        ways = [(self.host(a), self.host(b)) for a in range(self.setting.members)
-                for b in range(self.setting.members) if a % 3 != b % 3]
+        ways = [
+            (self.host(a), self.host(b))
+            for a in range(self.setting.members)
+            for b in range(self.setting.members)
+            if a % 3 != b % 3
+        ]
         return self._sever(ways)
 
     def _flap(self, trouble: Trouble) -> None:
         period = 300 * MS
         for start in range(0, trouble.lasts, 2 * period):
+
             def down() -> None:
                 heal = self._cut(trouble)
                 self.after(period, heal)
@@ -391,10 +412,13 @@
         other = key_of("another", b"sim")
         for process in self.chosen(trouble):
             for _ in range(int(trouble.amount)):
-                data: bytes = self.chance.choice((
-                    self.chance.randbytes(self.chance.randrange(0, 200)),
-                    encode(self._ping_of(process), other),
-                    encode(self._ping_of(process), self.key)[:-3]))
+                data: bytes = self.chance.choice(
+                    (
+                        self.chance.randbytes(self.chance.randrange(0, 200)),
+                        encode(self._ping_of(process), other),
+                        encode(self._ping_of(process), self.key)[:-3],
+                    )
+                )
                 self.after(int(self.chance.uniform(0, trouble.lasts)) + 1, partial(process.hear, data, None))
 
     @staticmethod
@@ -407,9 +431,11 @@
         """The ledger's own count, at the beginning of each call."""
         now = self.now
         self.left_behind = [end for end in self.left_behind if end > now]
-        total = len(self.left_behind) + sum(sum(end > now for end in each.in_hand)
-                                            for each in [*self.current, *self.doubles]
-                                            if each is not None and each.alive)
+        total = len(self.left_behind) + sum(
+            sum(end > now for end in each.in_hand)
+            for each in [*self.current, *self.doubles]
+            if each is not None and each.alive
+        )
         self.verdict.most_in_hand = max(self.verdict.most_in_hand, total)
         if total > self.setting.terms.limit:
             self.broke("limit", f"{total} calls in hand, the limit is {self.setting.terms.limit:g}")
@@ -420,8 +446,11 @@
         there = self.processes()
         for number, since in list(self.died.items()):
             name = f"m{number}"
-            holds = [(claim := each.peer.members.get(name)) is None or claim.state >= State.DEAD
-                     for each in there if not each.paused]
+            holds = [
+                (claim := each.peer.members.get(name)) is None or claim.state >= State.DEAD
+                for each in there
+                if not each.paused
+            ]
             if holds and all(holds):
                 verdict.detected.append(now - since)
                 del self.died[number]
@@ -461,8 +490,10 @@
                     continue
                 if claim is None or claim.life != own.life or claim.state >= State.DEAD:
                     held = "unknown" if claim is None else f"{claim.state.name} in life {claim.life.number}"
-                    self.broke("older-life" if claim is not None and claim.life != own.life else "known",
-                               f"{watcher.name} holds {living.name} {held}")
+                    self.broke(
+                        "older-life" if claim is not None and claim.life != own.life else "known",
+                        f"{watcher.name} holds {living.name} {held}",
+                    )
         quorum = self.setting.terms.quorum
         voters = sum(self.setting.terms.votes(each.name) for each in there)
         if voters >= quorum and verdict.used_after < 0:
@@ -489,20 +520,38 @@
 
 # ---- drawing
 
-QUICK = Habits(Pace(interval=300 * MS, time_out=100 * MS, late=250 * MS), sync=3_000 * MS, sync_soon=400 * MS,
-               reach_out=600 * MS, remember=600_000 * MS)
-
-
-def draw(seed: int, least: int = 3, most: int = 24, kinds: tuple[str, ...] = KINDS, span: int = 20 * SECOND,
-         rest: int = 25 * SECOND) -> Setting:
+QUICK = Habits(
+    Pace(interval=300 * MS, time_out=100 * MS, late=250 * MS),
+    sync=3_000 * MS,
+    sync_soon=400 * MS,
+    reach_out=600 * MS,
+    remember=600_000 * MS,
+)
+
+
+def draw(
+    seed: int,
+    least: int = 3,
+    most: int = 24,
+    kinds: tuple[str, ...] = KINDS,
+    span: int = 20 * SECOND,
+    rest: int = 25 * SECOND,
+) -> Setting:
     """A setting of a seed: troubles within `span` after a start in peace, then `rest` in which all must
     heal."""
     chance = random.Random(f"setting {seed}")
     members = chance.randint(least, most)
     # One process more may stand under each of `doubles` names at a time.
-    terms = Terms(limit=members * chance.choice((2, 4, 8)), capacity=members, doubles=1,
-                  floor_share=chance.choice((0.5, 0.7)), lease=1_500 * MS, longest=800 * MS, settle=200 * MS,
-                  voters=tuple(f"m{n}" for n in range(min(members, 5))) if chance.random() < 0.4 else ())
+    terms = Terms(
+        limit=members * chance.choice((2, 4, 8)),
+        capacity=members,
+        doubles=1,
+        floor_share=chance.choice((0.5, 0.7)),
+        lease=1_500 * MS,
+        longest=800 * MS,
+        settle=200 * MS,
+        voters=tuple(f"m{n}" for n in range(min(members, 5))) if chance.random() < 0.4 else (),
+    )
     begin = 6 * SECOND
     troubles: list[Trouble] = []
     doubled = False
@@ -514,16 +563,35 @@
             doubled = True
         at = begin + int(chance.uniform(0, 0.7) * span)
         lasts = int(chance.uniform(0.1, 1.0) * min(span - (at - begin), 8 * SECOND))
-        share = {"kill": (0.05, 0.4), "cut": (0.1, 0.6), "one-way": (0.05, 0.5), "replace": (0.3, 0.7),
-                 "pause": (0.05, 0.4), "all": (1, 1), "step": (0.05, 0.3)}.get(kind, (0.05, 0.3))
+        share = {
+            "kill": (0.05, 0.4),
+            "cut": (0.1, 0.6),
+            "one-way": (0.05, 0.5),
+            "replace": (0.3, 0.7),
+            "pause": (0.05, 0.4),
+            "all": (1, 1),
+            "step": (0.05, 0.3),
+        }.get(kind, (0.05, 0.3))
         number = max(1, min(members, round(chance.uniform(*share) * members)))
         who = tuple(sorted(chance.sample(range(members), 1 if kind in ("double", "flap") else number)))
-        amount = {"loss": chance.uniform(0.1, 0.4), "slow": chance.uniform(0.05, 0.6), "garble": 200.0,
-                  "step": chance.choice((-60.0, 60.0, -3600.0))}.get(kind, 0.0)
+        amount = {
+            "loss": chance.uniform(0.1, 0.4),
+            "slow": chance.uniform(0.05, 0.6),
+            "garble": 200.0,
+            "step": chance.choice((-60.0, 60.0, -3600.0)),
+        }.get(kind, 0.0)
         troubles.append(Trouble(kind, at, lasts, who, amount))
     quiet = begin + span
-    return Setting(seed, members, terms, QUICK, chance.choice((0.0, 0.02, 0.1)), quiet, quiet + rest,
-                   tuple(sorted(troubles, key=lambda each: each.at)))
+    return Setting(
+        seed,
+        members,
+        terms,
+        QUICK,
+        chance.choice((0.0, 0.02, 0.1)),
+        quiet,
+        quiet + rest,
+        tuple(sorted(troubles, key=lambda each: each.at)),
+    )
 
 
 def play(setting: Setting) -> Verdict:
--- a/limeridge/standins/day.py
+++ b/limeridge/trial/day.py
@@ -1,4 +1,4 @@
-"""`python -m limeridge.standins.day SECONDS RATE SEED [CODE]`: a short day of the stand-ins with a real
+"""`python -m limeridge.trial.day SECONDS RATE SEED [CODE]`: a short day of the stand-ins with a real
 instance on loopback sockets; CODE is a checkout whose instance is taken, for a comparison with another
 version.
 
--- /dev/null
+++ b/limeridge/trial/judge.py
@@ -0,0 +1,224 @@
+"""What a trial came to, from what the processes did: lives and ends that the rig saw, log lines with their
+times, the ledger's own count, callers' answers, and what members showed.
+
+It owns the rules and their figures. It must never ask anything: it gets a record and gives a verdict.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from limeridge.trial.scenario import BLURS, Trial
+
+AFTER = 8_000_000  # microseconds after a fault of links in which a member may still be held dead for it
+SPARE = 0.95  # of what can be dealt out
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of a name. Microseconds since the end of the warm-up; `end` None while it lives."""
+
+    number: int
+    start: int
+    end: int | None = None
+    told: bool = False  # it was told to leave
+    double: bool = False
+
+
+@dataclass(slots=True)
+class Line:
+    """A change of grade, as a member logged it."""
+
+    at: int
+    watcher: int
+    code: str
+    peer: int
+
+
+@dataclass(slots=True)
+class Look:
+    """What all members showed at one time, by number: those it holds present with their lives, its own
+    life, calls of its share."""
+
+    at: int
+    present: dict[int, frozenset[tuple[str, int]]]
+    own: dict[int, int]
+    calls: dict[int, int]
+    living: frozenset[int]
+
+
+@dataclass(slots=True)
+class Record:
+    lives: list[Life] = field(default_factory=list)
+    lines: list[Line] = field(default_factory=list)
+    looks: list[Look] = field(default_factory=list)
+    in_hand: list[tuple[int, int]] = field(default_factory=list)  # at each rise of the ledger's count
+    states: dict[str, int] = field(default_factory=dict)  # of callers' txns
+    crashes: list[str] = field(default_factory=list)
+    exceptions: int = 0
+    lateness: int = 0  # microseconds, of the rig's own timer, at the worst
+    end: int = 0
+
+
+@dataclass(slots=True)
+class Verdict:
+    trial: str
+    seed: int
+    instances: int
+    broke: list[str] = field(default_factory=list)
+    busy: bool = False
+    detect_ms: list[int] = field(default_factory=list)
+    false_deaths: int = 0
+    agreed_ms: int | None = None
+    used_ms: int | None = None
+    most_in_hand: int = 0
+    limit: int = 0
+    dealt_before: float = 0.0  # share of the limit, in the mean
+    dealt_during: float = 0.0
+    dealt_after: float = 0.0
+    unanswered: int = 0
+    states: dict[str, int] = field(default_factory=dict)
+    exceptions: int = 0
+    lateness_ms: int = 0
+
+    def plain(self) -> dict[str, Any]:
+        return asdict(self)
+
+
+LATE_MOST = 400_000  # microseconds: past that, times say more of the machine than of the program
+
+
+def judge(trial: Trial, record: Record) -> Verdict:
+    verdict = Verdict(
+        trial.name,
+        trial.seed,
+        trial.instances,
+        limit=trial.terms.limit,
+        states=record.states,
+        exceptions=record.exceptions,
+        lateness_ms=record.lateness // 1_000,
+    )
+    verdict.busy = record.lateness > LATE_MOST
+    verdict.broke += [f"crash: {crash}" for crash in record.crashes]
+    if record.exceptions:
+        verdict.broke.append(f"exceptions: {record.exceptions} lines with a trace")
+    _limit(trial, record, verdict)
+    _deaths(trial, record, verdict)
+    _after(trial, record, verdict)
+    expect = trial.expect
+    verdict.unanswered = record.states.get("open", 0)
+    if expect.unanswered is not None and verdict.unanswered > expect.unanswered:
+        verdict.broke.append(f"unanswered: {verdict.unanswered} txns, expected {expect.unanswered} at most")
+    return verdict
+
+
+def _limit(trial: Trial, record: Record, verdict: Verdict) -> None:
+    """The one rule that is always judged: the ledger never holds more calls than the fleet's limit."""
+    verdict.most_in_hand = max((count for _, count in record.in_hand), default=0)
+    if verdict.most_in_hand > trial.terms.limit:
+        at = next(at for at, count in record.in_hand if count > trial.terms.limit)
+        verdict.broke.append(
+            f"limit: {verdict.most_in_hand} calls in the ledger's hands, the limit is "
+            f"{trial.terms.limit}, first at {at / 1e6:.3f} s"
+        )
+
+
+def _deaths(trial: Trial, record: Record, verdict: Verdict) -> None:
+    expect, blurred = trial.expect, [act for act in trial.acts if act.kind in BLURS]
+    first: dict[int, int] = {}
+    for life in record.lives:
+        first[life.number] = min(first.get(life.number, life.start), life.start)
+    for life in record.lives:
+        if life.end is None or life.told or life.double or life.end < 0:
+            continue
+        successor = min(
+            (
+                each.start
+                for each in record.lives
+                if each.number == life.number and not each.double and each.start > life.start
+            ),
+            default=record.end,
+        )
+        watchers = {
+            each.number
+            for each in record.lives
+            if not each.double
+            and each.start < life.end - 2_000_000
+            and (each.end is None or each.end >= min(successor, record.end))
+            and each.number != life.number
+        }
+        watchers -= {number for act in blurred for number in act.who}
+        seen = {
+            line.watcher: line.at
+            for line in reversed(record.lines)
+            if line.code == "gone" and line.peer == life.number and life.end <= line.at <= successor
+        }
+        times = [seen[watcher] - life.end for watcher in watchers if watcher in seen]
+        bound = expect.detect
+        if bound is not None and successor - life.end > bound and watchers:
+            late = sorted(watcher for watcher in watchers if seen.get(watcher, successor) - life.end > bound)
+            if late:
+                verdict.broke.append(
+                    f"detect: n{life.number} was not held gone within {bound / 1e6:g} s by "
+                    + ", ".join(f"n{number}" for number in late[:5])
+                )
+        if times and len(times) == len(watchers):
+            verdict.detect_ms.append(max(times) // 1_000)
+    for line in record.lines:
+        if line.code != "gone" or line.at < 0:
+            continue
+        lived = any(
+            life.number == line.peer
+            and not life.told
+            and life.start <= line.at
+            and (life.end is None or life.end > line.at)
+            and not life.double
+            for life in record.lives
+        )
+        # A death just before a restart may be told after it, of the older life.
+        lately = any(
+            life.number == line.peer and life.end is not None and line.at - AFTER <= life.end <= line.at
+            for life in record.lives
+        )
+        blur = any(act.at <= line.at <= act.at + act.lasts + AFTER for act in blurred)
+        if lived and not lately and not blur:
+            verdict.false_deaths += 1
+    if expect.false_deaths is not None and verdict.false_deaths > expect.false_deaths:
+        verdict.broke.append(f"false deaths: {verdict.false_deaths}, expected {expect.false_deaths} at most")
+
+
+def _after(trial: Trial, record: Record, verdict: Verdict) -> None:
+    """From the end of the last fault on: when all held the same, and when the limit was in use again."""
+    terms, expect, over = trial.terms, trial.expect, trial.over
+    first = min((act.at for act in trial.acts), default=0)
+    shares: dict[str, list[float]] = {"before": [], "during": [], "after": []}
+    for look in record.looks:
+        dealt = sum(look.calls.values()) / terms.limit
+        shares["before" if look.at < first else "during" if look.at <= over else "after"].append(dealt)
+        if look.at <= over:
+            continue
+        truth = frozenset((f"n{number}", look.own[number]) for number in look.living if number in look.own)
+        alike = len(truth) == len(look.living) and all(
+            look.present.get(number) == truth for number in look.living
+        )
+        if not alike:
+            verdict.agreed_ms = None
+        elif verdict.agreed_ms is None:
+            verdict.agreed_ms = (look.at - over) // 1_000
+        can = terms.surplus + terms.floor * len(look.living)
+        if verdict.used_ms is None and sum(look.calls.values()) >= SPARE * can:
+            verdict.used_ms = (look.at - over) // 1_000
+    means = {name: sum(each) / len(each) if each else 0.0 for name, each in shares.items()}
+    verdict.dealt_before, verdict.dealt_during, verdict.dealt_after = (
+        round(means[name], 3) for name in ("before", "during", "after")
+    )
+    for name, bound, found in (
+        ("agree", expect.agree, verdict.agreed_ms),
+        ("use", expect.use, verdict.used_ms),
+    ):
+        if bound is not None and (found is None or found > bound // 1_000):
+            verdict.broke.append(
+                f"{name}: {'never' if found is None else f'after {found} ms'}, "
+                f"expected within {bound // 1_000} ms"
+            )
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -587,7 +587,7 @@
 
 def test_the_stand_ins_play_a_day_with_a_real_instance_on_loopback_sockets() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "limeridge.standins.day", "2", "40", "7"],
+        [sys.executable, "-m", "limeridge.trial.day", "2", "40", "7"],
         capture_output=True,
         check=True,
         timeout=60,
