Test the decisions of members; commands trial and peers; mend what the tests showed

Found by the tests and mended: a datagram of accusations with the longest names was 1,258 bytes of 1,200 (each now counts against the room); an instance back from a long stand-still stopped holding its tongue at once, since the time since it last heard anybody counted the stand-still. The sum of shares is tested with voters and holders alone by 150 seeded histories, and seven defects put in one at a time are each found by the trial that is there for it.

--- a/limeridge/cli/main.py
+++ b/limeridge/cli/main.py
@@ -11,7 +11,9 @@
 import click
 
 from limeridge import __version__
+from limeridge.cli.peers import peers
 from limeridge.cli.sim import sim
+from limeridge.cli.trial import trial
 from limeridge.settings.load import Unusable
 
 
@@ -24,7 +26,9 @@
     """
 
 
+root.add_command(peers)
 root.add_command(sim)
+root.add_command(trial)
 
 
 def main() -> None:
--- /dev/null
+++ b/limeridge/cli/trial.py
@@ -0,0 +1,255 @@
+"""`limeridge trial`: trials of real processes, or of virtual members, under faults; what they came to, and
+charts.
+
+It owns arguments and output. What is done and judged is decided in `limeridge.trial`.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+from rich.console import Console
+from rich.table import Table
+
+from limeridge.settings.load import Unusable
+from limeridge.trial import scenario
+
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="JSON instead of text.")
+BUSY = 3
+
+
+@click.group()
+def trial() -> None:
+    """Trials: many instances as processes, faults between them, and what must hold."""
+
+
+def drawn(name: str, seed: int, nodes: int) -> scenario.Trial:
+    try:
+        return scenario.draw(name, seed, nodes)
+    except Unusable as bad:
+        raise click.UsageError(str(bad)) from None
+    except ValueError as bad:  # a set that fits the file's number of instances and not the one asked for
+        raise click.UsageError(f"{name}: --nodes {nodes}: {bad}") from None
+
+
+@trial.command("list")
+@AS_JSON
+def list_all(as_json: bool) -> None:
+    """The named trials."""
+    rows = [scenario.draw(name, 0) for name in scenario.names()]
+    if as_json:
+        click.echo(
+            orjson.dumps(
+                [
+                    {
+                        "name": each.name,
+                        "about": each.about,
+                        "instances": each.instances,
+                        "seconds": (each.warm + each.over + each.rest) / 1e6,
+                    }
+                    for each in rows
+                ]
+            )
+        )
+        return
+    for each in rows:
+        click.echo(
+            f"{each.name}: {each.about} ({each.instances} instances, "
+            f"{(each.warm + each.over + each.rest) / 1e6:.0f} s)"
+        )
+
+
+@trial.command("run")
+@click.argument("name")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
+@click.option(
+    "--nodes", type=click.IntRange(0, 200), default=0, help="Instances, in place of the file's number."
+)
+@click.option("--repeat", type=click.IntRange(1, 1_000), default=1, show_default=True, help="As many seeds.")
+@click.option("--world", type=click.Choice(["real", "virtual"]), default="real", show_default=True)
+@click.option(
+    "--out",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="A folder for logs, records and charts; else nothing is kept.",
+)
+@AS_JSON
+def run(name: str, seed: int, nodes: int, repeat: int, world: str, out: Path | None, as_json: bool) -> None:
+    """Runs a trial by its name, or a .txtpb file by its path."""
+    rows: list[dict[str, Any]] = []
+    for number in range(seed, seed + repeat):
+        plan = drawn(name, number, nodes)
+        verdict = virtual(plan) if world == "virtual" else real(name, plan, nodes, out)
+        rows.append(verdict)
+        if not as_json:
+            told(verdict)
+    if as_json:
+        click.echo(orjson.dumps(rows))
+    elif repeat > 1:
+        table(rows)
+    broke = any(row["broke"] and not row["busy"] for row in rows)
+    raise click.exceptions.Exit(1 if broke else BUSY if any(row["busy"] for row in rows) else 0)
+
+
+def virtual(plan: scenario.Trial) -> dict[str, Any]:
+    from limeridge.trial import virtual as world
+
+    for kind in world.passed_over(plan):
+        click.echo(f"passed over, for this world has none of it: {kind}", err=True)
+    return world.run(plan).plain()
+
+
+def real(name: str, plan: scenario.Trial, nodes: int, out: Path | None) -> dict[str, Any]:
+    """In a process of its own: a reactor runs once."""
+    if any(act.kind is scenario.Kind.STEP for act in plan.acts):
+        raise click.UsageError(f"{name}: real processes share this machine's clock: use --world virtual")
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = out / f"{plan.name}-{plan.seed}" if out else Path(scratch)
+        done = subprocess.run(
+            [sys.executable, "-m", "limeridge.trial.rig", name, str(plan.seed), str(nodes), str(folder)],
+            stdout=subprocess.PIPE,
+            check=False,
+        )
+        if done.returncode:
+            raise click.ClickException(f"the rig ended with {done.returncode}")
+        verdict: dict[str, Any] = orjson.loads(done.stdout.splitlines()[-1])
+        if out is not None:
+            chart(plan, orjson.loads((folder / "record.json").read_bytes()), folder / "chart.svg")
+    return verdict
+
+
+def told(verdict: dict[str, Any]) -> None:
+    state = "machine too busy" if verdict["busy"] else "broke" if verdict["broke"] else "held"
+    click.echo(f"{verdict['trial']} seed {verdict['seed']}: {state}")
+    for line in verdict["broke"]:
+        click.echo(f"  {line}")
+    click.echo(
+        f"  deaths known to all after {span(verdict['detect_ms'])}; false deaths {verdict['false_deaths']}; "
+        f"alike {after(verdict['agreed_ms'])}, limit in use {after(verdict['used_ms'])}; "
+        f"calls in the ledger's hands {verdict['most_in_hand']} of {verdict['limit']} at most; "
+        f"dealt out {verdict['dealt_before']:.0%}, {verdict['dealt_during']:.0%}, "
+        f"{verdict['dealt_after']:.0%}; txns unanswered {verdict['unanswered']}"
+    )
+
+
+def span(times: list[int]) -> str:
+    ordered = sorted(times)
+    return f"{ordered[len(ordered) // 2]} ms (at most {ordered[-1]})" if ordered else "(none to know)"
+
+
+def after(time: int | None) -> str:
+    return "never" if time is None else f"after {time} ms"
+
+
+def table(rows: list[dict[str, Any]]) -> None:
+    shown = Table(
+        "trial",
+        "runs",
+        "held",
+        "busy",
+        "deaths known ms (median, worst)",
+        "false",
+        "alike ms (worst)",
+        "in use ms (worst)",
+        "in hand",
+        "dealt before, during, after",
+        "unanswered",
+    )
+    for name, runs in grouped(rows):
+        deaths = sorted(time for row in runs for time in row["detect_ms"])
+        alike = [row["agreed_ms"] for row in runs]
+        use = [row["used_ms"] for row in runs]
+        shown.add_row(
+            name,
+            str(len(runs)),
+            str(sum(not row["broke"] for row in runs)),
+            str(sum(row["busy"] for row in runs)),
+            f"{deaths[len(deaths) // 2]}, {deaths[-1]}" if deaths else "-",
+            str(sum(r["false_deaths"] for r in runs)),
+            "never" if None in alike else str(max(alike)),
+            "never" if None in use else str(max(use)),
+            f"{max(row['most_in_hand'] for row in runs)} of {runs[0]['limit']}",
+            ", ".join(
+                f"{sum(row[part] for row in runs) / len(runs):.2f}"
+                for part in ("dealt_before", "dealt_during", "dealt_after")
+            ),
+            str(sum(row["unanswered"] for row in runs)),
+        )
+    Console(width=200).print(shown)
+
+
+def grouped(rows: list[dict[str, Any]]) -> Iterator[tuple[str, list[dict[str, Any]]]]:
+    for name in dict.fromkeys(row["trial"] for row in rows):
+        yield name, [row for row in rows if row["trial"] == name]
+
+
+def chart(plan: scenario.Trial, record: dict[str, Any], path: Path) -> None:
+    """Calls dealt out and in the ledger's hands against the limit, faults as bands, deaths as marks."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(10, 4))
+    axes.axhline(plan.terms.limit, color="black", linewidth=1, label="limit")
+    axes.plot(
+        [each["at"] / 1e6 for each in record["looks"]],
+        [each["calls"] for each in record["looks"]],
+        label="dealt out",
+    )
+    axes.step(
+        [at / 1e6 for at, _ in record["in_hand"]],
+        [count for _, count in record["in_hand"]],
+        where="post",
+        linewidth=0.6,
+        label="in the ledger's hands",
+    )
+    for act in plan.acts:
+        axes.axvspan(act.at / 1e6, (act.at + act.lasts) / 1e6, alpha=0.12)
+        axes.annotate(act.kind.value, (act.at / 1e6, plan.terms.limit), fontsize=7, rotation=30)
+    deaths = [line["at"] / 1e6 for line in record["lines"] if line["code"] == "gone"]
+    axes.plot(deaths, [0] * len(deaths), "|", color="red", label="held gone by one")
+    axes.set_xlabel("seconds from the end of the warm-up")
+    axes.set_ylabel("calls")
+    axes.set_title(f"{plan.name}, seed {plan.seed}, {plan.instances} instances")
+    axes.legend(loc="lower right", fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+@trial.command("show")
+@click.argument("name")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--nodes", type=click.IntRange(0, 200), default=0)
+def show(name: str, seed: int, nodes: int) -> None:
+    """The time line of a trial with this seed: who is hit, when, and what must hold."""
+    plan = drawn(name, seed, nodes)
+    terms = plan.terms
+    click.echo(f"{plan.name}: {plan.about}")
+    click.echo(
+        f"{plan.instances} instances, limit {terms.limit}, floor {terms.floor}, quorum {terms.quorum}, "
+        f"warm-up {plan.warm / 1e6:g} s, rest {plan.rest / 1e6:g} s"
+    )
+    for act in plan.acts:
+        who = ", ".join(f"n{number}" for number in act.who) or "all"
+        amount = f" {act.amount:g}" if act.amount else ""
+        click.echo(f"  {act.at / 1e6:>7.3f} s  {act.kind.value}{amount} for {act.lasts / 1e6:g} s: {who}")
+    expect = plan.expect
+    for what, bound in (
+        ("deaths known to all", expect.detect),
+        ("alike", expect.agree),
+        ("in use", expect.use),
+    ):
+        if bound is not None:
+            click.echo(f"  must hold: {what} within {bound / 1e6:g} s")
+    for what, count in (("false deaths", expect.false_deaths), ("txns unanswered", expect.unanswered)):
+        if count is not None:
+            click.echo(f"  must hold: {what} {count} at most")
+    click.echo("  must hold: calls in the ledger's hands within the limit, at any time")
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -33,8 +33,8 @@
 from limeridge.peers.shares import NO_VIEW, Epoch, Holder, Offers, Terms, View, Voter
 
 MS = 1_000
-CLAIM_BYTES = 44  # of a claim on the wire, its texts aside, at the most
-HEAD_BYTES = 96  # of a message's other fields and its tag
+CLAIM_BYTES = 52  # of a claim on the wire, its texts aside, at the most
+HEAD_BYTES = 128  # of a message's other fields, a name of 64 among them, and its tag
 ACCUSALS_MOST = 6  # carried by one datagram
 ACCUSALS_KEPT = 256
 RELAYS_MOST = 64  # probes in hand for others
@@ -198,10 +198,11 @@
         room = self.habits.news_room - HEAD_BYTES - self._size(own)
         accusals: list[Accusal] = []
         for accusal in sorted(self.accusals, key=lambda each: (self.accusals[each], each.name, each.by)):
-            if len(accusals) >= ACCUSALS_MOST:
+            takes = CLAIM_BYTES + len(accusal.name) + len(accusal.by)
+            if len(accusals) >= ACCUSALS_MOST or takes > room // 2:  # half is left for claims
                 break
             accusals.append(accusal)
-            room -= CLAIM_BYTES + len(accusal.name) + len(accusal.by)
+            room -= takes
             self.accusals[accusal] += 1
             if self.accusals[accusal] >= self.members.tell_most():
                 del self.accusals[accusal]
@@ -472,6 +473,7 @@
                     peer=claim.name,
                     was=old.value if old else "",
                     at=f"{claim.host}:{claim.port}",
+                    life=claim.life.number,
                     incarnation=claim.incarnation,
                 )
         stand = self.reach.stand
--- a/limeridge/peers/probing.py
+++ b/limeridge/peers/probing.py
@@ -115,6 +115,7 @@
         self.next_at = now
         self.round_at = now
         self.silent_until_heard = False  # stood still, and nobody has answered since
+        self.back_at = now  # from the last stand-still
         self.heard_at = now  # the last answer of anybody
         self.stalls = 0
 
@@ -156,17 +157,18 @@
         self.doubt = self.pace.doubt
         self.round = None
         self.round_at = now
-        self.silent_until_heard = True
+        self.silent_until_heard, self.back_at = True, now
         for suspicion in self.suspicions.values():
             suspicion.begun += late
 
     def holds_tongue(self, now: int) -> bool:
         """Alone, or back from a stand-still, we are the more likely one to be at fault. Alone for as long
         as the longest suspicion with all doubt of ourselves, there is nobody left to spare."""
+        alone = now - max(self.heard_at, self.back_at)
+        most = 2 * self.span()[1] + self.pace.doubt * self.pace.interval
         if self.silent_until_heard:
-            return now - self.heard_at < 2 * self.span()[1] + self.pace.doubt * self.pace.interval
-        quiet = 2 * self.pace.interval * (1 + self.doubt)
-        return quiet < now - self.heard_at < 2 * self.span()[1] + self.pace.doubt * self.pace.interval
+            return alone < most
+        return 2 * self.pace.interval * (1 + self.doubt) < alone < most
 
     def span(self) -> tuple[int, int]:
         """The least and the most that a suspicion lasts, among as many members as are known now."""
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -9,21 +9,22 @@
 lives under an epoch; it gives each of its n members surplus/n. Epochs are totally ordered, and one epoch
 means one set: it names the process that made it.
 
-1. A voter supports one view at a time and only ever goes to a higher epoch. It remembers each view that it
-supported until `hold` has passed since it last did so. 2. It answers a holder with its epoch and a cap: the
-least of the holder's parts in all the views it remembers. 3. A holder uses the surplus only with answers of
-a quorum of voters under one epoch, none asked for longer ago than `lease`, and then no more than the least
-of their caps. 4. A voter that has started is silent until `hold` has passed: what it supported in an
-earlier life it can't know.
-
-The sum never exceeds the limit. At a time t, each holder's calls in hand were begun under some epoch within
-the longest time of a call. Take the lowest of these epochs, e of holder j with view V. Any other holder's
-epoch is the same, and its cap at most its part in V; or higher, and then some voter answered both, since
-two quorums share more names than may be taken twice. That voter answered j first (rule 1), less than lease
-+ longest before t, and so it remembered V when it answered the other (rule 2, rule 4 where it was
-restarted): the other's cap is at most its part in V. All use at most their parts in V; these add up to the
-surplus. `hold` counts the drift of both clocks. docs/design/peers.md has it at length, with what it gives
-up.
+1. A voter supports one view at a time and only ever goes to a higher epoch. It remembers each view under
+   which it allowed anybody a part, until `hold` has passed since it last did so.
+2. It answers a holder with its epoch and a cap: the least of the holder's parts in its view and in those that
+   it remembers.
+3. A holder uses the surplus only with answers of a quorum of voters under one epoch, none asked for longer
+   ago than `lease`, and then no more than the least of their caps.
+4. A voter that has started is silent until `hold` has passed: what an earlier life supported it can't know.
+
+The sum never exceeds the limit. At a time t, each holder's calls in hand were begun under some epoch, not
+longer before t than a call lasts. Of the epochs of those that use any surplus, take the lowest: e, of
+holder j with view V. Another holder's epoch is the same, and its cap at most its part in V; or it is
+higher, and then one voter answered both, since two quorums share more names than may be taken twice. It
+answered j first (rule 1), allowed it something (rule 3), and did so less than lease + longest before t: it
+remembered V when it answered the other (rule 2; rule 4 where it was restarted), whose cap is thus at most
+its part in V. So all use at most their parts in V, and these add up to the surplus. `hold` counts the drift
+of both clocks. docs/design/peers.md has it at length, with what it gives up.
 """
 
 from __future__ import annotations
@@ -130,9 +131,12 @@
         self.supported = {
             epoch: (view, at) for epoch, (view, at) in self.supported.items() if at + self.terms.hold > now
         }
-        # Also where it is no member of the view: its part is 0, and others' parts are what was promised.
-        self.supported[self.view.epoch] = self.view, now
-        return self.view.epoch, min(view.part(key, self.terms.surplus) for view, _ in self.supported.values())
+        parts = [view.part(key, self.terms.surplus) for view, _ in self.supported.values()]
+        cap = min([*parts, self.view.part(key, self.terms.surplus)])
+        # An answer that allows nothing promises nothing: it need not bind others.
+        if cap > 0:
+            self.supported[self.view.epoch] = self.view, now
+        return self.view.epoch, cap
 
 
 @dataclass(slots=True, frozen=True)
--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -101,7 +101,7 @@
         self.fleet, self.number, self.host, self.drift = fleet, number, host, drift
         self.born, self.alive, self.paused = fleet.now, True, False
         self.held_back: list[Callable[[], None]] = []
-        self.name = f"m{number}"
+        self.name = f"n{number}"
         self.in_hand: list[int] = []  # when the ledger lets go of each call
         setting, chance = fleet.setting, random.Random(f"{fleet.setting.seed} {number} {fleet.now}")
         self.chance = chance
@@ -171,8 +171,9 @@
 class Fleet:
     """A run of one setting."""
 
-    def __init__(self, setting: Setting) -> None:
-        self.setting = setting
+    def __init__(self, setting: Setting, looks: Callable[[Fleet], None] | None = None) -> None:
+        """`looks` is called each time that the fleet is looked at, with what it holds then."""
+        self.setting, self.looks = setting, looks
         self.chance = random.Random(f"gossip {setting.seed}")
         self.now = 0
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
@@ -445,7 +446,7 @@
         now, verdict = self.now, self.verdict
         there = self.processes()
         for number, since in list(self.died.items()):
-            name = f"m{number}"
+            name = f"n{number}"
             holds = [
                 (claim := each.peer.members.get(name)) is None or claim.state >= State.DEAD
                 for each in there
@@ -476,6 +477,8 @@
                 verdict.used_after = now - self.quiet_at
             if dealt > terms.limit:
                 self.broke("limit", f"shares of {dealt:g} dealt out, the limit is {terms.limit:g}")
+        if self.looks is not None:
+            self.looks(self)
         self.after(100 * MS, self.look)
 
     def judge_end(self) -> None:
@@ -550,7 +553,7 @@
         lease=1_500 * MS,
         longest=800 * MS,
         settle=200 * MS,
-        voters=tuple(f"m{n}" for n in range(min(members, 5))) if chance.random() < 0.4 else (),
+        voters=tuple(f"n{n}" for n in range(min(members, 5))) if chance.random() < 0.4 else (),
     )
     begin = 6 * SECOND
     troubles: list[Trouble] = []
--- a/limeridge/trial/judge.py
+++ b/limeridge/trial/judge.py
@@ -34,6 +34,7 @@
     watcher: int
     code: str
     peer: int
+    life: int  # the number of the life that it is about
 
 
 @dataclass(slots=True)
@@ -165,6 +166,7 @@
                 )
         if times and len(times) == len(watchers):
             verdict.detect_ms.append(max(times) // 1_000)
+    told: dict[int, int] = {}
     for line in record.lines:
         if line.code != "gone" or line.at < 0:
             continue
@@ -182,7 +184,10 @@
             for life in record.lives
         )
         blur = any(act.at <= line.at <= act.at + act.lasts + AFTER for act in blurred)
-        if lived and not lately and not blur:
+        look = next((look for look in reversed(record.looks) if look.at <= line.at), None)
+        older = look is not None and line.life != look.own.get(line.peer, line.life)
+        if lived and not lately and not older and not blur and line.at - told.get(line.peer, -AFTER) >= AFTER:
+            told[line.peer] = line.at  # the same death, as another one heard of it, is not counted again
             verdict.false_deaths += 1
     if expect.false_deaths is not None and verdict.false_deaths > expect.false_deaths:
         verdict.broke.append(f"false deaths: {verdict.false_deaths}, expected {expect.false_deaths} at most")
--- a/limeridge/trial/rig.py
+++ b/limeridge/trial/rig.py
@@ -396,7 +396,7 @@
         doc = b"work=%d calls=%d op=%d n=%d" % (
             self.chance.randrange(500, 3_000),
             1 + number % 2,
-            self.chance.randrange(5_000, 200_000),
+            self.chance.randrange(5_000, 400_000),
             number,
         )
         wait = product.expiry // 1_000
@@ -502,7 +502,7 @@
                 if told.get("event") == "peer":
                     at = int((told["t"] - self.zero) * 1e6)
                     peer = int(told["peer"].removeprefix("n"))
-                    self.record.lines.append(judge.Line(at, number, told["code"], peer))
+                    self.record.lines.append(judge.Line(at, number, told["code"], peer, told["life"]))
         self.record.lines.sort(key=lambda line: line.at)
 
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,592 @@
+"""Membership and shares: the decisions by seeded histories, the file of settings, the sockets of a member."""
+
+import os
+import random
+from itertools import permutations
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from limeridge.peers import peer as peers
+from limeridge.peers import probing
+from limeridge.peers.gate import Gate
+from limeridge.peers.members import Claim, Life, Members, State
+from limeridge.peers.messages import DATAGRAM_MOST, Ack, Foreign, Ping, Table, decode, encode, key_of
+from limeridge.peers.peer import Habits, Peer
+from limeridge.peers.reach import Grade, Reach, Stand
+from limeridge.peers.setup import read
+from limeridge.peers.shares import NO_EPOCH, Holder, Offers, Terms, View, Voter
+from limeridge.settings.load import Unusable
+from limeridge.sim import gossip
+from limeridge.trial import scenario, virtual
+
+MS, SECOND = 1_000, 1_000_000
+OWN = Claim("own", Life(100, 1), 0, State.ALIVE, "10.0.0.1", 1)
+
+claims = st.builds(
+    Claim,
+    st.sampled_from(["a", "b", "c"]),
+    st.builds(Life, st.integers(1, 3), st.integers(1, 2)),
+    st.integers(0, 2),
+    st.sampled_from(list(State)),
+    st.just("10.0.0.9"),
+    st.just(1),
+)
+
+
+def table_of(heard: Any) -> dict[str, Claim]:
+    members = Members(OWN)
+    for claim in heard:
+        members.merge(claim, 0)
+    return members.table
+
+
+# ---- claims
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(claims, max_size=6), st.randoms(use_true_random=False))
+def test_tables_are_alike_whatever_the_order_and_however_often(heard: list[Claim], chance: Any) -> None:
+    mixed = heard + chance.sample(heard, len(heard) // 2)
+    chance.shuffle(mixed)
+    one, other = Members(OWN), Members(OWN)
+    for claim in heard:
+        one.merge(claim, 0)
+    for claim in mixed:
+        other.merge(claim, 5)
+    assert one.table == other.table
+    assert one.digest == other.digest
+
+
+def test_an_older_life_never_counts_against_a_newer_one() -> None:
+    new = Claim("a", Life(2, 7), 0, State.ALIVE)
+    for order in permutations(
+        [new, Claim("a", Life(1, 9), 5, State.DEAD), Claim("a", Life(1, 9), 9, State.LEFT)]
+    ):
+        assert table_of(order)["a"] == new
+    # Of one life: whoever left has left, whatever is said of it after.
+    left = Claim("a", Life(2, 7), 0, State.LEFT)
+    assert table_of([left, replace(new, incarnation=9)])["a"] == left
+
+
+def test_what_is_said_of_ourselves_is_refuted_and_a_newer_life_at_our_address_is_outlived() -> None:
+    members = Members(OWN)
+    assert members.answer_to(replace(OWN, state=State.SUSPECT, incarnation=3), 0) is not None
+    assert (members.own.incarnation, members.own.state) == (4, State.ALIVE)
+    assert members.answer_to(replace(OWN, state=State.SUSPECT, incarnation=3), 0) is None, "refuted already"
+    # Unix time stepped back: an earlier life seems newer. It had our address, so it is over.
+    members.answer_to(replace(OWN, life=Life(500, 8)), 0)
+    assert members.own.life == Life(501, 1)
+    # An older one changes nothing.
+    assert members.answer_to(replace(OWN, life=Life(3, 3)), 0) is None
+
+
+def test_two_live_processes_under_one_name_decide_alike_which_one_yields() -> None:
+    one, other = Members(OWN), Members(replace(OWN, life=Life(101, 2), host="10.0.0.2"))
+    one.answer_to(other.own, 0)
+    other.answer_to(one.own, 0)
+    assert (one.yields, other.yields) == (True, False)
+    # Once somebody holds the better one gone, the name is free again, and claimed above it.
+    one.answer_to(replace(other.own, state=State.DEAD), 0)
+    assert not one.yields
+    assert one.own.life > other.own.life
+
+
+def test_the_gone_are_kept_for_a_while_and_news_is_told_a_bounded_number_of_times() -> None:
+    members = Members(OWN)
+    for number in range(40):
+        members.merge(Claim(f"m{number}", Life(1, 1), 0, State.ALIVE, "10.0.0.9", 1), 0)
+    members.merge(Claim("m3", Life(1, 1), 0, State.DEAD), 10)
+    told: dict[str, int] = {}
+    for _ in range(2_000):
+        for claim in members.to_tell(300, 44, ["m3"]):
+            told[claim.name] = told.get(claim.name, 0) + 1
+    rest = {name: count for name, count in told.items() if name != "m3"}
+    assert set(rest) == {"own", *(f"m{number}" for number in range(40) if number != 3)}
+    assert set(rest.values()) == {members.tell_most()}, "each as often as any other"
+    assert told["m3"] == 2_000, "what is asked for goes each time"
+    assert [claim.name for claim in members.forget(200, 100)] == ["m3"]
+    assert members.digest == Members(OWN).digest ^ _digest(members)
+
+
+def _digest(members: Members) -> int:
+    from limeridge.peers.digest import digest_of
+
+    digest = 0
+    for claim in members.table.values():
+        if claim.name != "own":
+            digest ^= digest_of(claim)
+    return digest
+
+
+# ---- probing
+
+
+class Probed:
+    """A detector among `count` others, with its acts."""
+
+    def __init__(self, count: int = 8) -> None:
+        self.members = Members(OWN)
+        self.pace = probing.Pace()
+        self.detector = probing.Detector(self.members, random.Random(3), self.pace, 0)
+        self.now = 0
+        for number in range(count):
+            change = self.members.merge(Claim(f"m{number}", Life(1, 1), 0, State.ALIVE), 0)
+            assert change is not None
+            self.detector.changed(change, 0)
+
+    def go(self, until: int, answers: Any = lambda probe: True, nacks: bool = True) -> list[probing.Act]:
+        acts: list[probing.Act] = []
+        while self.detector.next_at <= until:
+            self.now = self.detector.next_at
+            for act in self.detector.wake(self.now):
+                acts.append(act)
+                if isinstance(act, probing.Probe):
+                    if answers(act):
+                        self.detector.answered(act.seq, act.target.name, self.now)
+                    elif act.helper is not None and nacks:
+                        self.detector.refused(act.seq, act.helper.name, self.now)
+                elif isinstance(act, probing.Accuse):
+                    self.take(replace(act.target, state=State.SUSPECT))
+                    self.detector.accused(act.target.name, act.target.life, act.target.incarnation, "own")
+                else:
+                    self.take(replace(act.target, state=State.DEAD))
+        return acts
+
+    def take(self, claim: Claim) -> None:
+        change = self.members.merge(claim, self.now)
+        if change is not None:
+            self.detector.changed(change, self.now)
+
+
+def test_everybody_is_probed_within_two_passes_and_a_silent_one_is_held_dead_in_time() -> None:
+    probed = Probed()
+    acts = probed.go(15 * SECOND)
+    asked = [act.target.name for act in acts if isinstance(act, probing.Probe)]
+    assert {asked.count(f"m{number}") for number in range(8)} == {2}
+    assert not [act for act in acts if not isinstance(act, probing.Probe)]
+    begun = probed.now
+    acts = probed.go(begun + 60 * SECOND, lambda probe: probe.target.name != "m5")
+    held = [act for act in acts if isinstance(act, probing.Hold)]
+    assert [act.target.name for act in held] == ["m5"]
+    assert probed.detector.doubt == 0, "helpers that answered no speak for us"
+
+
+def test_a_suspicion_is_shorter_the_more_share_it_and_ends_with_its_refutation() -> None:
+    probed = Probed()
+    suspect = Claim("m2", Life(1, 1), 0, State.SUSPECT)
+    probed.take(suspect)
+    alone = probed.detector.suspicions["m2"].due()
+    for name in ("x", "y", "z", "w", "v"):
+        probed.detector.accused("m2", Life(1, 1), 0, name)
+    least, most = probed.detector.span()
+    assert alone == most
+    assert probed.detector.suspicions["m2"].due() == least
+    assert not probed.detector.accused("m2", Life(1, 1), 1, "u"), "of another incarnation"
+    probed.take(replace(suspect, state=State.ALIVE, incarnation=1))
+    assert "m2" not in probed.detector.suspicions
+
+
+def test_one_that_stood_still_or_hears_nobody_holds_its_tongue() -> None:
+    probed = Probed()
+    probed.go(3 * SECOND)
+    probed.take(Claim("m2", Life(1, 1), 0, State.SUSPECT))
+    due = probed.detector.suspicions["m2"].due()
+    probed.now += 300 * SECOND  # paused
+    acts = probed.detector.wake(probed.now)
+    assert probed.detector.stalls == 1
+    assert probed.detector.doubt == probed.pace.doubt
+    assert not [act for act in acts if isinstance(act, probing.Hold)], "the suspicion did not go on meanwhile"
+    assert probed.detector.suspicions["m2"].due() >= due + 299 * SECOND
+    # Nobody answers: it accuses nobody before it has heard somebody again.
+    acts = probed.go(probed.now + 30 * SECOND, lambda probe: False, nacks=False)
+    assert not [act for act in acts if isinstance(act, probing.Hold)]
+
+
+def test_grades_tell_one_way_links_and_those_cut_off_from_the_dead() -> None:
+    reach = Reach(fresh=4 * SECOND, back=10 * SECOND)
+    claim = Claim("a", Life(1, 1), 0, State.ALIVE)
+    seen = reach.of("a")
+    assert reach.grade(claim, SECOND) is Grade.ALIVE
+    seen.unanswered, seen.by_others = 2 * SECOND, 2 * SECOND
+    assert reach.grade(claim, 3 * SECOND) is Grade.CUT_OFF
+    seen.heard = int(2.5 * SECOND)
+    assert reach.grade(claim, 3 * SECOND) is Grade.DEAF
+    seen.answered = 3 * SECOND
+    assert reach.grade(replace(claim, state=State.SUSPECT), 3 * SECOND) is Grade.SUSPECT
+    assert reach.grade(replace(claim, state=State.DEAD), 3 * SECOND) is Grade.GONE
+    seen.back = 3 * SECOND
+    assert reach.grade(claim, 4 * SECOND) is Grade.BACK
+    assert reach.look(1, 1, 0, SECOND) is Stand.MOST, "there never was anybody else"
+    assert reach.look(4, 6, 0, SECOND) is Stand.MOST
+    assert reach.look(3, 6, 0, 2 * SECOND) is Stand.FEW
+    assert reach.stand_since == 2 * SECOND
+    assert reach.look(6, 6, 0, 9 * SECOND) is Stand.ALONE
+
+
+# ---- shares
+
+
+def view(number: int, *names: str, by: str = "a") -> View:
+    return View((number, by, 1), frozenset(names))
+
+
+def test_parts_are_whole_calls_and_add_up() -> None:
+    for surplus in (0, 1, 7, 100):
+        for count in range(1, 12):
+            names = [f"m{number}" for number in range(count)]
+            each = view(3, *names)
+            parts = [each.part(name, surplus) for name in names]
+            assert sum(parts) == surplus
+            assert max(parts) - min(parts) <= 1
+    assert view(1, "a").part("b", 10) == 0
+
+
+def test_a_voter_shrinks_first_and_lets_grow_later() -> None:
+    terms = Terms(limit=40, capacity=3, floor_share=0.0, lease=SECOND, longest=SECOND)
+    voter = Voter(terms, 0)
+    assert voter.support("a", terms.hold - 1) is None, "silent: an earlier life may have promised"
+    now = terms.hold
+    voter.offered(view(1, "a", "b"))
+    assert voter.support("a", now) == ((1, "a", 1), 20)
+    assert not voter.offered(view(1, "a", by="")), "never back"
+    # One more: the others shrink at once, the newcomer waits until nobody can still use the old part.
+    voter.offered(view(2, "a", "b", "c"))
+    assert voter.support("a", now + 10)[1] in (13, 14)  # type: ignore[index]
+    assert voter.support("c", now + 10)[1] == 0  # type: ignore[index]
+    assert voter.support("c", now + terms.hold + 1)[1] in (13, 14)  # type: ignore[index]
+    # One less: who stays grows only then.
+    now += terms.hold + 10
+    voter.offered(view(3, "a", "b"))
+    assert voter.support("a", now)[1] in (13, 14)  # type: ignore[index]
+    assert voter.support("a", now + terms.hold + 1)[1] == 20  # type: ignore[index]
+
+
+def test_a_holder_needs_a_quorum_under_one_epoch_and_looks_at_the_time() -> None:
+    terms = Terms(limit=60, capacity=5, doubles=0, floor_share=0.5, lease=SECOND)
+    holder = Holder(terms, 0, quiet=100)
+    assert holder.share(50) == 0, "what an earlier life left at the ledger"
+    assert (holder.share(100), holder.why(100)) == (6, "few-voters")
+    one, two = (1, "a", 1), (2, "a", 1)
+    for name, epoch, cap in (("a", two, 6), ("b", two, 4), ("c", one, 9)):
+        holder.answered(name, epoch, cap, 200)
+    assert (holder.share(300), holder.why(300)) == (6, "voters-differ")
+    holder.answered("c", two, 5, 400)
+    assert (holder.share(500), holder.why(500)) == (10, "dealt"), "the least of the caps"
+    assert holder.share(200 + SECOND) == 6, "the lease of two of them is over, counted from the asking"
+    holder.answered("c", one, 9, 300)
+    assert holder.supports["c"].epoch == two, "an answer to an older asking comes late"
+
+
+def test_views_are_offered_by_one_once_the_members_stand_still_and_flaps_wait_longer() -> None:
+    terms = Terms(limit=60, capacity=3, settle=500 * MS)
+    claims = [Claim(name, Life(1, 1), 0, State.ALIVE) for name in ("a", "b", "c")]
+    offers = {name: Offers(terms, name, 1) for name in ("a", "b", "c")}
+    for each in offers.values():
+        assert each.next(claims, View(NO_EPOCH, frozenset()), NO_EPOCH, 3, 0) is None
+    made = {
+        name: view
+        for name, each in offers.items()
+        if (view := each.next(claims, View(NO_EPOCH, frozenset()), NO_EPOCH, 3, SECOND)) is not None
+    }
+    assert len(made) == 1
+    name, new = next(iter(made.items()))
+    assert new.epoch == (1, name, 1)
+    assert new.keys == {"a/1", "b/1", "c/1"}
+    alone = Offers(terms, name, 1)
+    alone.next(claims, View(NO_EPOCH, frozenset()), NO_EPOCH, 1, 0)
+    assert alone.next(claims, View(NO_EPOCH, frozenset()), NO_EPOCH, 1, SECOND) is None, (
+        "with few, none is made"
+    )
+    # One that comes and goes: each return waits twice as long; its going never waits longer.
+    offer, now, stand, waits = offers[name], 2 * SECOND, new, []
+    other = next(claim for claim in claims if claim.name != name)
+    for _ in range(4):
+        for present in ([claim for claim in claims if claim is not other], claims):
+            begun = now
+            while (made_now := offer.next(present, stand, stand.epoch, 3, now)) is None:
+                now += 50 * MS
+            stand = made_now
+            waits.append((now - begun) // MS)
+    assert waits[0::2] == [500] * 4
+    assert waits[1::2] == [500, 1_000, 2_000, 4_000]
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.integers(0, 1 << 30))
+def test_the_sum_never_exceeds_the_limit_whatever_voters_hear_when(seed: int) -> None:
+    """Holders and voters with no members behind them: messages come late, out of order or not at all, views
+    are offered by anybody in any order, processes restart and clocks drift."""
+    chance = random.Random(seed)
+    count = chance.randint(1, 7)
+    terms = Terms(
+        limit=chance.randint(count, 60),
+        capacity=count,
+        doubles=0,
+        lease=1_000,
+        longest=400,
+        floor_share=chance.choice((0.0, 0.5)),
+        drift=0.05,
+    )
+    drift = [1 + chance.uniform(-0.05, 0.05) for _ in range(count)]
+    lives, epoch = [0] * count, 0
+    voters = [Voter(terms, 0) for _ in range(count)]
+    holders = [Holder(terms, 0, 0) for _ in range(count)]
+    views: list[View] = []
+    flying: list[tuple[int, int, int, int, Any]] = []
+    calls: list[tuple[int, int]] = []  # whose, until when
+    for now in range(0, 12_000, 50):
+        local = [int(now * each) for each in drift]
+        if chance.random() < 0.1:
+            epoch += 1
+            keys = frozenset(f"{n}/{lives[n]}" for n in range(count) if chance.random() < 0.7) or frozenset(
+                {"x"}
+            )
+            views.append(View((epoch, f"{chance.randrange(count)}", epoch), keys))
+        if views and chance.random() < 0.5:
+            chance.choice(voters).offered(chance.choice(views[-3:]))
+        if chance.random() < 0.01:
+            number = chance.randrange(count)
+            lives[number] += 1
+            voters[number], holders[number] = Voter(terms, local[number]), Holder(terms, local[number], 0)
+            calls = [call for call in calls if call[0] != number]  # the ledger let go of them with the link
+        for number in range(count):
+            if chance.random() < 0.4:
+                target = chance.randrange(count)
+                answer = voters[target].support(f"{number}/{lives[number]}", local[target])
+                if answer is not None and chance.random() < 0.9:
+                    late = now + chance.choice((0, 100, 900))
+                    flying.append((late, number, target, local[number], (lives[number], answer)))
+        for each in [each for each in flying if each[0] <= now]:
+            flying.remove(each)
+            _, number, target, asked, (life, answer) = each
+            if life == lives[number]:
+                holders[number].answered(str(target), *answer, asked)
+        calls = [call for call in calls if call[1] > now]
+        for number in chance.sample(range(count), count):
+            while sum(whose == number for whose, _ in calls) + 1 <= holders[number].share(local[number]):
+                calls.append((number, now + 380))
+        assert len(calls) <= terms.limit
+
+
+def test_the_gate_asks_anew_for_each_call_and_counts_what_was_left_behind() -> None:
+    share, now = [2], [0]
+    gate = Gate(lambda: share[0], lambda: now[0], linger=100)
+    assert [gate.begin() for _ in range(3)] == [True, True, False]
+    share[0] = 1
+    assert not gate.still(), "the share lapsed while the connection was being opened"
+    gate.end(left_behind=True)
+    gate.end(left_behind=False)
+    assert (gate.in_hand(), gate.begin()) == (1, False)
+    now[0] = 100
+    assert gate.begin()
+    assert (gate.turned_away, gate.lapsed) == (2, 1)
+
+
+# ---- messages
+
+
+def test_messages_are_read_back_and_what_is_not_ours_is_told_by_a_code() -> None:
+    key, other = key_of("fleet", b"k" * 16), key_of("another", b"k" * 16)
+    ping = Ping(7, OWN, "b", 1 << 63, (OWN, replace(OWN, name="c", state=State.DEAD)))
+    data = encode(ping, key)
+    assert decode(data, key) == ping
+    chance = random.Random(5)
+    for bad, code in (
+        (b"", "short"),
+        (data[:10], "short"),
+        (data[:-1], "tag"),
+        (encode(ping, other), "tag"),
+        (data[:20] + b"\xff" + data[21:], "tag"),
+        (chance.randbytes(900), "tag"),
+    ):
+        with pytest.raises(Foreign, match=code):
+            decode(bad, key)
+    from hashlib import blake2b
+
+    for body in (b"\x91\xa1z", b"\xc1", b"\x93\xa1p\x01\x02", b"\x80"):
+        with pytest.raises(Foreign, match="garbled"):
+            decode(blake2b(body, key=key, digest_size=16).digest() + body, key)
+
+
+def test_no_datagram_is_over_its_bound_in_a_fleet_of_a_thousand_with_the_longest_names() -> None:
+    key = key_of("fleet", b"k" * 16)
+    big = (1 << 62) + 5
+    own = Claim(
+        "n" * 64,
+        Life(big, big),
+        big,
+        State.ALIVE,
+        "1111:2222:3333:4444:5555:6666:7777:8888",
+        65_535,
+        "z" * 32,
+        "9" * 16,
+    )
+    peer = Peer(own, [], Habits(), Terms(limit=100, capacity=1_000), random.Random(1), 0)
+    for number in range(1_000):
+        peer._merge(replace(own, name=f"{number:064}", state=State.SUSPECT if number % 3 else State.ALIVE), 0)
+        peer._accuse(peers.Accusal(f"{number:064}", own.life, big, "b" * 64))
+    largest = 0
+    for now in range(0, 60 * SECOND, 100 * MS):
+        peer.wake(now)
+        peer.heard(Ping(now, replace(own, name="b" * 64), own.name, 5), now)
+        for send in peer.out:
+            if not send.stream:
+                largest = max(largest, len(encode(send.message, key)))
+        peer.out.clear()
+    assert 600 < largest <= DATAGRAM_MOST
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["ping", "ack", "table", "wake", "leave"]),
+            claims,
+            st.lists(claims, max_size=4),
+            st.integers(0, 3 * SECOND),
+        ),
+        max_size=30,
+    )
+)
+def test_a_member_raises_on_nothing_that_another_may_send(history: list[Any]) -> None:
+    peer = Peer(OWN, [("10.0.0.9", 1)], Habits(), Terms(limit=9, capacity=3), random.Random(1), 0)
+    now = 0
+    for what, sender, news, later in history:
+        now += later
+        if what == "wake":
+            peer.wake(now)
+        elif what == "leave":
+            peer.leave(now)
+        elif what == "ping":
+            peer.heard(Ping(now, sender, "own", 0, tuple(news)), now)
+        elif what == "ack":
+            peer.heard(Ack(1, sender, "a", 0, tuple(news)), now)
+        else:
+            peer.heard(Table(sender, tuple(news), ((now, "a", 1), ("a/1",)), True), now)
+        assert peer.next_at() >= 0
+        assert peer.share(now) is not None
+
+
+# ---- many members on virtual time
+
+
+@pytest.mark.parametrize("first", [0, 10])
+def test_seeds_of_drawn_faults_hold(first: int) -> None:
+    for seed in range(first, first + 10):
+        verdict = gossip.play(gossip.draw(seed, most=14))
+        assert not verdict.rule, f"seed {seed}: {verdict.rule}: {verdict.what}"
+        assert verdict.false_deaths == 0
+        assert verdict.largest <= DATAGRAM_MOST
+
+
+@pytest.mark.parametrize("name", scenario.names())
+def test_each_trial_holds_on_virtual_members(name: str) -> None:
+    verdict = virtual.run(scenario.draw(name, 1))
+    assert verdict.broke == []
+    assert verdict.most_in_hand <= verdict.limit
+    assert verdict.most_in_hand > 0.8 * verdict.limit, "the limit was not come near: nothing is shown"
+
+
+@pytest.mark.parametrize(
+    ("defect", "trial", "rule"),
+    [
+        ("hold", "third-killed", "limit"),
+        ("lease", "heal-at-restart", "limit"),
+        ("quorum", "half-cut", "limit"),
+        ("silent", "amnesia", "limit"),
+        ("older", "clock-step", "agree"),
+        ("refute", "half-cut", "agree"),
+        ("reach-out", "three-islands", "agree"),
+    ],
+)
+def test_defects_of_members_are_found(
+    defect: str, trial: str, rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each put in by itself; the trial that is there for it must break, by the rule that is there for it."""
+    if defect == "hold":  # a voter forgets what it allowed at once
+        monkeypatch.setattr(Terms, "hold", property(lambda self: 1))
+    elif defect == "lease":  # a holder goes on with answers that are over
+        monkeypatch.setattr(Holder, "_current", lambda self, now: self.supports)
+    elif defect == "quorum":  # one voter is enough
+        monkeypatch.setattr(Terms, "quorum", property(lambda self: 1))
+    elif defect == "silent":  # a voter that has started answers as if it knew
+        monkeypatch.setattr(Voter, "silent", lambda self, now: False)
+    elif defect == "older":  # lives are not told apart
+        monkeypatch.setattr(
+            Claim, "rank", property(lambda self: (Life(0, 0), self.incarnation, int(self.state)))
+        )
+    elif defect == "refute":  # a suspicion of ourselves is not answered
+        monkeypatch.setattr(Members, "answer_to", lambda self, claim, now: None)
+    else:  # the dead are never tried again
+        monkeypatch.setattr(Peer, "_reach_out", lambda self, now: None)
+    broke = virtual.run(scenario.draw(trial, 1)).broke
+    assert broke and broke[0].startswith(rule), broke
+
+
+# ---- settings
+
+GOOD = 'fleet: "f"\nkey_file: "KEY"\nlisten: ":7950"\nseed: "127.0.0.1:7950"\n'
+
+
+def test_faults_of_the_file_are_told_with_their_place(tmp_path: Path) -> None:
+    key = tmp_path / "key"
+    key.write_bytes(b"0123456789abcdef")
+    key.chmod(0o600)
+    path = tmp_path / "p.txtpb"
+
+    def told(text: str) -> str:
+        path.write_text(text.replace("KEY", str(key)))
+        with pytest.raises(Unusable) as bad:
+            read(str(path))
+        return str(bad.value).removeprefix(f"{path}:")
+
+    path.write_text(GOOD.replace("KEY", str(key)))
+    assert read(str(path)).terms is None
+    assert told("").startswith("1:1: fleet: expected a name")
+    assert told(GOOD.replace(':7950"\nseed', ':79500"\nseed')).startswith("3:1: listen: expected a port")
+    assert told(GOOD + 'seed: "nowhere:1"\n').startswith("5:1: seed[1]: expected an IP address")
+    assert told(GOOD.replace('":7950"', '"0.0.0.0:7950"')).startswith("3:1: listen: expected `advertise`")
+    assert told(GOOD + "time_out_ms: 900\n").startswith("5:1: time_out_ms: expected milliseconds (3/4")
+    assert told(GOOD + "shares { limit: 5 capacity: 3\n  voter: ['a', 'a'] }").startswith(
+        "6:16: shares.voter[1]: "
+    )
+    assert told(GOOD + "shares { limit: 5 capacity: 2 doubles: 3 }").startswith(
+        "5:31: shares.doubles: expected less"
+    )
+    assert told(GOOD + "shares { limit: 0 capacity: 2 }").startswith(
+        "5:10: shares.limit: expected calls from 1"
+    )
+    assert told(GOOD + "what: 1").startswith("5:1: ")
+    key.write_bytes(b"short")
+    assert told(GOOD).startswith("2:1: key_file: expected 16 bytes or more in it, got 5")
+    key.write_bytes(b"0123456789abcdef")
+    key.chmod(0o644)
+    assert told(GOOD).startswith("2:1: key_file: expected no way in for others, its mode is 644")
+    os.unlink(key)
+    assert told(GOOD).startswith("2:1: key_file: expected a file that can be read")
+
+
+def test_a_trials_sets_are_checked_and_drawn_alike(tmp_path: Path) -> None:
+    path = tmp_path / "t.txtpb"
+
+    def told(act: str) -> str:
+        scenario.message_of.cache_clear()
+        path.write_text(f'name: "t"\ninstances: 6\nzones: 2\nact {{ {act} }}\n')
+        try:
+            return str(scenario.draw(str(path), 3).acts)
+        except Unusable as bad:
+            return str(bad).removeprefix(f"{path}:")
+
+    assert told("at_ms: 1").startswith("4:1: act[0].kind: expected a kind of fault")
+    assert told('kind: ACT_KILL set: "n6"').startswith("4:22: act[0].set: expected names n0 to n5")
+    assert told('kind: ACT_KILL set: "zone c"').startswith("4:22: act[0].set: expected one of the 2 zones")
+    assert told('kind: ACT_LOSS set: "all" amount: 0.1').startswith("4:22: act[0].set: expected none")
+    assert told("kind: ACT_LOSS amount: 3").startswith("4:22: act[0].amount: expected a number from 0 to 1")
+    assert "who=(0, 2, 4)" in told('kind: ACT_KILL set: "zone a"')
+    assert told('kind: ACT_KILL set: "a third"') == told('kind: ACT_KILL set: "a third"')
+    scenario.message_of.cache_clear()
