--- a/limeridge/trial/rig.py
+++ b/limeridge/trial/rig.py
@@ -30,6 +30,7 @@
 
 from limeridge.peers.messages import Ping, encode, key_of
 from limeridge.peers.peer import own_claim
+from limeridge.settings.load import Unusable
 from limeridge.sim.plan import Ranges, draw
 from limeridge.standins.callers import Habit, Stub, Want
 from limeridge.standins.kernel import Kernel
@@ -508,8 +509,12 @@
 
 def main() -> None:
     name, seed, instances, folder = sys.argv[1], int(sys.argv[2]), int(sys.argv[3]), Path(sys.argv[4])
+    try:
+        trial = scenario.draw(name, seed, instances)
+    except Unusable as bad:
+        print(f"limeridge: {bad}", file=sys.stderr)
+        sys.exit(2)
     folder.mkdir(parents=True, exist_ok=True)
-    trial = scenario.draw(name, seed, instances)
     rig = Rig(trial, folder)
     verdict = rig.run()
     (folder / "verdict.json").write_bytes(orjson.dumps(verdict.plain(), option=orjson.OPT_INDENT_2))
