--- a/limeridge/peers/probing.py
+++ b/limeridge/peers/probing.py
@@ -220,9 +220,11 @@
         claim = self.members.get(current.target.name)
         if claim is None or claim.life != current.target.life or claim.state > State.SUSPECT:
             return []
-        # Helpers that stay silent too speak against us; helpers that say no speak against the target.
-        missing = current.asked - len(current.nacks)
-        self.distrust(missing if current.asked else 1)
+        # Helpers that stay silent too speak against us; helpers that say no speak against the target. One round
+        # is one piece of evidence, however many were asked: where a third died at once, dead helpers would else
+        # make all the others doubt themselves, and their doubt slow the news of the dead.
+        if not current.asked or len(current.nacks) < current.asked:
+            self.distrust(1)
         if self.silent_until_heard:
             return []
         return [Accuse(claim)]
