--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -136,7 +136,7 @@
         if self.peers is not None:
             self.guarded(self.peers.start)
         for call, every in ((self.callers.sweep, SWEEP), (self.report, EVERY),
-                            (self.facade.guard, GUARD)):
+                            (self.guard, GUARD)):
             self.repeat(call, every)
 
     def repeat(self, call: Callable[[], None], every: float) -> None:
@@ -271,10 +271,18 @@
 
     # ---- time
 
-    def wake(self) -> None:
+    def guard(self) -> None:
+        self.take_share()
+        self.facade.guard()
+
+    def take_share(self) -> None:
+        """The brain plans by the share as it is now; the gate sees to it that a call keeps to it."""
         share = None if self.peers is None else self.peers.share()
         if share is not None:
             self.facade.allow(share)
+
+    def wake(self) -> None:
+        self.take_share()
         self.kernel.gauges(GAUGE_WAIT).addCallback(
             lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(self.met, "tick-fault")
 
--- a/limeridge/peers/probing.py
+++ b/limeridge/peers/probing.py
@@ -193,8 +193,9 @@
         return [Probe(self.seq, target)]
 
     def _next_target(self) -> Claim | None:
-        """In an order shuffled anew after each pass: everybody's turn comes within two passes, or four where
-        each second round goes to a suspect. More of them must not, lest the dead be probed and nobody else."""
+        """In an order shuffled anew after each pass: everybody's turn comes within two passes, or four
+        where each second round goes to a suspect. More of them must not, lest the dead be probed and nobody
+        else."""
         self.was_soon = bool(self.soon) and not self.was_soon
         while self.soon and self.was_soon:
             claim = self.members.get(self.soon.pop())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -24,6 +24,9 @@
     "limeridge.cli",
     "limeridge.settings",
     "limeridge.standins",
+    "limeridge.peers",
+    "msgspec",
+    "argparse",
     "multiprocessing",
 )
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,7 +8,7 @@
 import time
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import orjson
 import pytest
@@ -29,6 +29,7 @@
     frame,
 )
 from limeridge.net.log import MOST, Log
+from limeridge.peers.gate import Gate
 
 ROOT = Path(__file__).parent.parent / "limeridge"
 ROOMY = SAMPLE["settings"] | {"familyInfo": SAMPLE["settings"]["familyInfo"] | {"callsOut": 40.0}}
@@ -124,6 +125,59 @@
     assert told[1:] == [End.UNREACHED] * (ledger.most + 1)
 
 
+def test_a_share_that_lapses_holds_calls_back_up_to_the_last_moment() -> None:
+    net = booted()
+    ledger, share, told = net.instance.ledger, [2], []
+    gate = ledger.gate = Gate(lambda: share[0], lambda: int(net.reactor.seconds() * 1e6), linger=200_000)
+
+    def call() -> Any:
+        made = ledger.call("0" * 16, 500_000, b"")
+        made.done.addCallback(lambda called: told.append(called.end))
+        return made
+
+    calls = [call() for _ in range(3)]
+    assert told == [End.FULL], "no room for a third: nothing was opened for it"
+    share[0] = 1  # while the connections were being opened
+    line = net.connect("127.0.1.2")
+    assert (line.transport.sent(), told[1:]) == (b"", [End.UNREACHED]), "never sent, and proved so"
+    net.lose(line)
+    assert net.log.codes("ledger-end") == ["share-lapsed"]
+    line = net.connect("127.0.1.2")
+    assert line.transport.sent().startswith(b"POST")
+    calls[0].abandon()
+    net.lose(line)
+    assert (gate.in_hand(), ledger.connections) == (1, 0), "left behind: the ledger may still work on it"
+    assert (call(), told[-1])[1] is End.FULL
+    net.pass_time(0.2)
+    call()
+    assert (gate.in_hand(), ledger.connections) == (1, 1)
+
+
+def test_members_are_started_told_of_the_drain_and_stopped_and_their_share_reaches_the_brain() -> None:
+    class Members:
+        gate = Gate(lambda: 3, lambda: 0, 0)
+        heard: ClassVar[list[str]] = []
+        calls = 3
+
+        def share(self) -> int:
+            return self.calls
+
+        def __getattr__(self, name: str) -> Any:
+            return lambda: self.heard.append(name)
+
+    net, members = booted(), Members()
+    instance = net.instance
+    instance.join(members)
+    assert instance.facade.brain.call_most == 3 and instance.ledger.gate is members.gate
+    members.calls = 1
+    net.pass_time(0.2)
+    assert instance.facade.brain.call_most == 1
+    instance.leave()
+    assert members.heard == ["leave"]
+    net.pass_time(4.0)
+    assert members.heard == ["leave", "stop"]
+
+
 def test_a_run_declined_in_the_hold_tells_when_to_come_back() -> None:
     net = booted()
     caller = net.caller()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -72,6 +72,32 @@
             return
 
 
+@settings(derandomize=True, max_examples=12, deadline=None, suppress_health_check=list(HealthCheck))
+@given(seed=st.integers(0, 10**6))
+def test_calls_in_hand_stay_within_a_share_that_changes(seed: int) -> None:
+    host, chance, share, most = Host(instance__cores=8), random.Random(seed), 0, 0
+    for number in range(200):
+        if number % 20 == 0:
+            share = chance.choice((0, 1, 2, 3, 9)) if number else 9
+            host.brain.share(host.now, share)
+        before = set(host.calls)
+        for _ in range(3):
+            host.take(patience=900_000)
+        for txn in host.at(Stage.RUNNING)[:4]:
+            host.needs(txn)
+        host.pull()
+        if set(host.calls) - before:
+            assert len(host.calls) <= share
+            most = max(most, len(host.calls))
+        for txn in host.at(Stage.CALLING):
+            if chance.random() < 0.3:
+                host.call_ends(txn, Outcome.OK)
+                if txn.stage is Stage.RUNNING:
+                    host.finish(txn)
+        host.pass_time(10_000, 0.3, 1)
+    assert most >= 2, "a share of several was never used"
+
+
 class Fleet:
     """Seeded peers of one instance, over transports in memory; what they are owed is checked as time goes."""
 
