--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -571,6 +571,18 @@
     assert told(GOOD).startswith("2:1: key_file: expected a file that can be read")
 
 
+def test_the_file_under_deploy_is_good_but_for_its_key(tmp_path: Path) -> None:
+    key, path = tmp_path / "key", tmp_path / "peers.txtpb"
+    key.write_bytes(b"0123456789abcdef")
+    key.chmod(0o600)
+    text = (Path(__file__).parent.parent / "deploy/peers.txtpb").read_text()
+    path.write_text(text.replace("/etc/limeridge/fleet.key", str(key)))
+    setup = read(str(path))
+    assert setup.terms is not None
+    assert (setup.terms.floor, setup.terms.surplus, setup.terms.quorum) == (1, 71, 13)
+    assert setup.terms.floor * 25 + setup.terms.surplus == setup.terms.limit
+
+
 def test_a_trials_sets_are_checked_and_drawn_alike(tmp_path: Path) -> None:
     path = tmp_path / "t.txtpb"
 
