Say once what members said several times: keys of lives, whole tables, sizes, lapsed state

Three spellings of a life's key, two of its size on the wire, two makers of a whole table and two readers of a message are one each; the holder counts its answers once where it did three times; fields that nothing reads are gone (Round.end_at, joined, a room that is a constant, doubles and delays that no act set); when a member is forgotten, so is when its table was asked for, which else stayed for good. The log of members takes the Unix time that it is given.

--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -178,6 +178,7 @@
     ) -> None:
         """Raises Unusable where the two don't go together."""
         self.setup, self.reactor, self.log, self.clock, self.key = setup, reactor, log, clock, peers.key
+        self.unix = unix
         self.show = peers.show
         # Nonces must differ between processes that were given the same seed.
         nonce = draw() if draw is not None else int.from_bytes(os.urandom(7), "big")
@@ -279,10 +280,8 @@
         second = self.clock() // 1_000_000
         if second != self.second:
             self.second, self.taken = second, 0
-        try:
-            message = decode(data, self.key)
-        except Foreign as foreign:
-            self.counts[f"foreign-{foreign}"] += 1
+        message = self._read(data)
+        if message is None:
             return
         self.taken += 1  # what is not ours does not eat up the room of what is
         if self.taken > IN_MOST:
@@ -291,12 +290,16 @@
         self._heard(message)
 
     def streamed(self, data: bytes) -> Table | None:
+        message = self._read(data)
+        return None if message is None else self._heard(message)
+
+    def _read(self, data: bytes) -> Message | None:
+        """None for what is not ours, counted by its code."""
         try:
-            message = decode(data, self.key)
+            return decode(data, self.key)
         except Foreign as foreign:
             self.counts[f"foreign-{foreign}"] += 1
             return None
-        return self._heard(message)
 
     def _heard(self, message: Message) -> Table | None:
         self.counts["heard"] += 1
@@ -348,7 +351,7 @@
             self._send(send.to, send.message, send.stream)
         events, peer.events = peer.events, []
         for event in events:
-            line: dict[str, object] = {"t": round(time.time(), 3), "event": event.event, "code": event.code}
+            line: dict[str, object] = {"t": round(self.unix(), 3), "event": event.event, "code": event.code}
             self.kept.append(line | event.fields)
             self.log.event(event.event, event.code, **event.fields)
         if self.stopped:
--- a/limeridge/peers/members.py
+++ b/limeridge/peers/members.py
@@ -54,6 +54,16 @@
     zone: str = ""
     version: str = ""
 
+    @property
+    def key(self) -> str:
+        """Of one life: a restart under the same name is another holder of shares."""
+        return f"{self.name}/{self.life.nonce:x}"
+
+    @property
+    def texts(self) -> int:
+        """Characters in it, for its size on the wire."""
+        return len(self.name) + len(self.host) + len(self.zone) + len(self.version)
+
     @property
     def rank(self) -> tuple[Life, int, int]:
         """LEFT is above every incarnation of its life."""
@@ -208,7 +218,7 @@
         )
         chosen: list[Claim] = []
         for claim in [*(self.table[name] for name in ahead), *(news.claim for news in rest)]:
-            takes = size + len(claim.name) + len(claim.host) + len(claim.zone) + len(claim.version)
+            takes = size + claim.texts
             if takes > room:
                 break
             room -= takes
--- a/limeridge/peers/messages.py
+++ b/limeridge/peers/messages.py
@@ -23,7 +23,6 @@
 DATAGRAM_MOST = 1_200  # bytes; below what any way in use takes in one piece
 STREAM_MOST = 1 << 20  # bytes of one message over TCP
 TAG = 16
-NAMES_MOST = 100_000  # claims of one message over TCP
 
 
 class Accusal(Struct, frozen=True, array_like=True):
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -70,7 +70,6 @@
     sync_soon: int = 1_000 * MS  # where a digest tells that tables differ
     reach_out: int = 2_000 * MS  # between two tries to reach one who is held dead, or a seed
     remember: int = 120_000 * MS  # that the gone are kept
-    news_room: int = DATAGRAM_MOST
 
 
 @dataclass(slots=True)
@@ -113,7 +112,6 @@
         self.renewals: dict[int, int] = {}  # open askings and when they were made
         self.pulled: dict[str, int] = {}
         self.next_sync = self.next_reach = self.next_renew = now
-        self.joined = not self.seeds
         self.leaving = False
         self.alike: set[str] = set()  # those whose digest was ours when last heard
         self.was_yielding = False
@@ -154,8 +152,9 @@
                 del self.relays[seq]
                 self._say(relay.asker, Nack(relay.seq, self.own))
         for claim in self.members.forget(now, self.habits.remember):
-            self.reach.forget([claim.name])
+            self.reach.seen.pop(claim.name, None)
             self.grades.pop(claim.name, None)
+            self.pulled.pop(claim.name, None)
             self.alike.discard(claim.name)
         self._look(now)
 
@@ -179,7 +178,7 @@
                     act.helper, Ask(act.seq, self.own, act.target.name, act.target.host, act.target.port)
                 )
             else:
-                self._ping(act.target, act.seq, now)
+                self._ping(act.target, act.seq)
                 if self.detector.round is not None and self.detector.round.asked_others:
                     self.reach.of(act.target.name).unanswered = now
         elif isinstance(act, probing.Accuse):
@@ -188,14 +187,13 @@
         else:
             self._merge(replace(act.target, state=State.DEAD), now)
 
-    def _ping(self, target: Claim, seq: int, now: int) -> None:
+    def _ping(self, target: Claim, seq: int) -> None:
         first = [target.name] if target.state is not State.ALIVE else []
         news, accusals = self._news(first)
         self._say(target, Ping(seq, self.own, target.name, self.members.digest, news, accusals))
 
     def _news(self, first: Iterable[str]) -> tuple[tuple[Claim, ...], tuple[Accusal, ...]]:
-        own = self.own
-        room = self.habits.news_room - HEAD_BYTES - self._size(own)
+        room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.own.texts
         accusals: list[Accusal] = []
         for accusal in sorted(self.accusals, key=lambda each: (self.accusals[each], each.name, each.by)):
             takes = CLAIM_BYTES + len(accusal.name) + len(accusal.by)
@@ -208,10 +206,6 @@
                 del self.accusals[accusal]
         return tuple(self.members.to_tell(room, CLAIM_BYTES, first)), tuple(accusals)
 
-    @staticmethod
-    def _size(claim: Claim) -> int:
-        return CLAIM_BYTES + len(claim.name) + len(claim.host) + len(claim.zone) + len(claim.version)
-
     def _say(self, to: Claim, message: Message, stream: bool = False) -> None:
         self.out.append(Send((to.host, to.port), message, stream))
 
@@ -219,38 +213,32 @@
         """To one who is held dead, and to a seed while nobody is known: the way back after a cut."""
         dead = sorted(self.members.others(State.DEAD), key=lambda claim: claim.name)
         if dead:
-            self._ping(self.chance.choice(dead), 0, now)
+            self._ping(self.chance.choice(dead), 0)
         others = len(self.members.present()) - 1
         known = {(claim.host, claim.port) for claim in self.members.present()}
         missing = [seed for seed in self.seeds if seed not in known]
         if missing and (not others or self.chance.random() < 0.25):
-            self._table_to(self.chance.choice(missing), answer=True)
+            self._ask_table(self.chance.choice(missing))
 
     def _sync(self, now: int) -> None:
         others = sorted(self.members.others(State.ALIVE), key=lambda claim: claim.name)
         if others:
             chosen = self.chance.choice(others)
-            self._table_to((chosen.host, chosen.port), answer=True)
+            self._ask_table((chosen.host, chosen.port))
 
-    def _table_to(self, to: Address, answer: bool) -> None:
+    def _whole(self, answer: bool) -> Table:
         view = self.voter.view if self.voter is not None else NO_VIEW
-        self.out.append(
-            Send(
-                to,
-                Table(
-                    self.own,
-                    tuple(self.members.table.values()),
-                    (view.epoch, tuple(sorted(view.keys))),
-                    answer,
-                ),
-                stream=True,
-            )
-        )
+        claims = tuple(self.members.table.values())
+        return Table(self.own, claims, (view.epoch, tuple(sorted(view.keys))), answer)
+
+    def _ask_table(self, to: Address) -> None:
+        """Ours goes along; theirs comes back."""
+        self.out.append(Send(to, self._whole(answer=True), stream=True))
 
     def _pull(self, claim: Claim, now: int, every: int) -> None:
         if now - self.pulled.get(claim.name, -every) >= every:
             self.pulled[claim.name] = now
-            self._table_to((claim.host, claim.port), answer=True)
+            self._ask_table((claim.host, claim.port))
 
     # ---- what came
 
@@ -333,17 +321,12 @@
         self._say(to, Ping(self.relay_seq, self.own, ask.to, self.members.digest, news, accusals))
 
     def _table(self, table: Table, now: int) -> Table | None:
-        self.joined = True
         self.detector.heard_at = now
         for claim in table.claims:
             self._merge(claim, now)
         epoch, keys = table.view
         self._offered(View(epoch, frozenset(keys)))
-        if not table.answer:
-            return None
-        view = self.voter.view if self.voter is not None else NO_VIEW
-        claims = tuple(self.members.table.values())
-        return Table(self.own, claims, (view.epoch, tuple(sorted(view.keys))), answer=False)
+        return self._whole(answer=False) if table.answer else None
 
     # ---- claims
 
@@ -419,18 +402,15 @@
         self.renewals = {seq: at for seq, at in self.renewals.items() if now - at < terms.lease}
         self.renewals[self.renew_seq] = now
         if terms.votes(self.own.name):
-            answer = voter.support(self._key(), now)
+            answer = voter.support(self.own.key, now)
             if answer is not None:
                 holder.answered(self.own.name, *answer, now)
         for claim in self._voters():
             self._say(claim, Renew(self.renew_seq, self.own, voter.view.epoch))
 
-    def _key(self) -> str:
-        return f"{self.own.name}/{self.own.life.nonce:x}"
-
     def _spread(self, view: View) -> None:
         offer = Offer(self.own, view.epoch, tuple(sorted(view.keys)))
-        size = HEAD_BYTES + self._size(self.own) + sum(len(key) + 2 for key in view.keys)
+        size = HEAD_BYTES + CLAIM_BYTES + self.own.texts + sum(len(key) + 2 for key in view.keys)
         for claim in self._voters():
             self._say(claim, offer, stream=size > DATAGRAM_MOST)
 
@@ -440,7 +420,7 @@
             return
         if self.members.yields:
             return  # another process votes under this name
-        answer = voter.support(f"{sender.name}/{sender.life.nonce:x}", now)
+        answer = voter.support(sender.key, now)
         if answer is not None:
             self._say(sender, Support(renew.seq, self.own, *answer))
         self._behind(sender, renew.epoch, now)
--- a/limeridge/peers/probing.py
+++ b/limeridge/peers/probing.py
@@ -7,9 +7,9 @@
 SWIM (Das, Gupta, Motivala 2002): each round one member, in an order shuffled anew after each pass, directly
 and, without an answer in time, by way of others; then a suspicion that the suspect can refute. Lifeguard
 (Dadgar, Phillips, Currey 2017): the round is stretched by what speaks for our own slowness, a suspicion is
-shorter the more members share it, and a suspect is told first of what it is suspected. Our departure: an
-instance that stood still, or that hears nobody at all, holds its tongue. It neither suspects nor holds dead
-until somebody has answered it since.
+shorter the more members share it, and a suspect is told first of what it is suspected. Our departures:
+some of those who hear of a suspect probe it next; and an instance that stood still, or that hears nobody at
+all, holds its tongue. It neither suspects nor holds dead until somebody has answered it since.
 """
 
 from __future__ import annotations
@@ -72,7 +72,6 @@
     seq: int
     target: Claim
     ask_at: int  # when others are asked
-    end_at: int
     asked_others: bool = False
     asked: int = 0  # how many there were to ask
     nacks: set[str] = field(default_factory=set)
@@ -133,7 +132,7 @@
         if current is not None and current.waits and now >= current.ask_at:
             acts += self._ask_others(current)
         if now >= self.round_at:
-            acts += self._end_round(now)
+            acts += self._end_round()
             acts += self._begin_round(now)
         for name, suspicion in list(self.suspicions.items()):
             if now >= suspicion.due() and not self.holds_tongue(now):
@@ -189,7 +188,7 @@
             self.round = None
             return []
         self.seq += 1
-        self.round = Round(self.seq, target, now + self.pace.time_out * stretch, self.round_at)
+        self.round = Round(self.seq, target, now + self.pace.time_out * stretch)
         return [Probe(self.seq, target)]
 
     def _next_target(self) -> Claim | None:
@@ -223,7 +222,7 @@
             *(Probe(current.seq, current.target, helper) for helper in chosen),
         ]
 
-    def _end_round(self, now: int) -> list[Act]:
+    def _end_round(self) -> list[Act]:
         current, self.round = self.round, None
         if current is None or current.answered:
             return []
--- a/limeridge/peers/reach.py
+++ b/limeridge/peers/reach.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -54,10 +53,6 @@
     def of(self, name: str) -> Seen:
         return self.seen.setdefault(name, Seen())
 
-    def forget(self, names: Iterable[str]) -> None:
-        for name in names:
-            self.seen.pop(name, None)
-
     def grade(self, claim: Claim, now: int) -> Grade:
         seen = self.seen.get(claim.name) or Seen()
         if claim.state >= State.DEAD:
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -33,7 +33,7 @@
 from dataclasses import dataclass, field
 
 from limeridge.peers.digest import score_of
-from limeridge.peers.members import Claim, State
+from limeridge.peers.members import Claim
 
 Epoch = tuple[int, str, int]  # counter, name and nonce of the process that made it
 NO_EPOCH: Epoch = (0, "", 0)
@@ -41,11 +41,6 @@
 FLAPS_MOST = 4  # doublings of the wait
 
 
-def key_of(claim: Claim) -> str:
-    """Of one life: a restart under the same name is another holder."""
-    return f"{claim.name}/{claim.life.nonce:x}"
-
-
 @dataclass(slots=True, frozen=True)
 class Terms:
     """The same at all instances. Times in microseconds."""
@@ -174,32 +169,28 @@
         """Voters whose answers still count, whatever their epoch."""
         return len(self._current(now))
 
-    def epoch(self, now: int) -> Epoch | None:
-        """The highest that a quorum supports just now."""
-        counts: dict[Epoch, int] = {}
+    def surplus(self, now: int) -> int | None:
+        """The least of the caps under the highest epoch that a quorum supports just now; None without one."""
+        caps: dict[Epoch, list[int]] = {}
         for each in self._current(now).values():
-            counts[each.epoch] = counts.get(each.epoch, 0) + 1
-        return max((epoch for epoch, count in counts.items() if count >= self.terms.quorum), default=None)
-
-    def surplus(self, now: int) -> int:
-        epoch = self.epoch(now)
-        if epoch is None:
-            return 0
-        return min(each.cap for each in self._current(now).values() if each.epoch == epoch)
+            caps.setdefault(each.epoch, []).append(each.cap)
+        best = max((epoch for epoch, each in caps.items() if len(each) >= self.terms.quorum), default=None)
+        return None if best is None else min(caps[best])
 
     def share(self, now: int) -> int:
         """Calls in hand that this instance may have now. To be asked for before each call."""
         if now < self.begins:
             return 0
-        return self.terms.floor + self.surplus(now)
+        return self.terms.floor + (self.surplus(now) or 0)
 
     def why(self, now: int) -> str:
         """A reason code for the share."""
         if now < self.begins:
             return "starting"
-        if self.epoch(now) is None:
+        surplus = self.surplus(now)
+        if surplus is None:
             return "few-voters" if self.in_reach(now) < self.terms.quorum else "voters-differ"
-        return "floor-only" if self.surplus(now) <= 0 else "dealt"
+        return "dealt" if surplus > 0 else "floor-only"
 
     def highest(self) -> Epoch:
         return max((each.epoch for each in self.supports.values()), default=NO_EPOCH)
@@ -219,8 +210,8 @@
     def next(self, present: Iterable[Claim], view: View, highest: Epoch, reach: int, now: int) -> View | None:
         """The view to be offered, if it is ours to offer and time. `present`: those held to be there,
         ourselves among them; `highest`: of all epochs heard of; `reach`: voters that answer us."""
-        claims = [claim for claim in present if claim.state <= State.SUSPECT]
-        keys = frozenset(key_of(claim) for claim in claims)
+        claims = list(present)
+        keys = frozenset(claim.key for claim in claims)
         if keys != self.wanted:
             for name in {key.rpartition("/")[0] for key in self.wanted - keys}:
                 self.went.setdefault(name, []).append(now)
--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -22,7 +22,6 @@
 from limeridge.peers.peer import Address, Habits, Peer, own_claim
 from limeridge.peers.probing import Pace
 from limeridge.peers.shares import Terms
-from limeridge.peers.shares import key_of as key_of_life
 
 MS = 1_000
 SECOND = 1_000_000
@@ -465,7 +464,7 @@
             verdict.false_deaths = len(self.false_seen)
         if self.quiet_at and now > self.quiet_at:
             # Who is there and in which life; a suspicion on its way to being refuted is no disagreement.
-            views = {frozenset(map(key_of_life, each.peer.members.present())) for each in there}
+            views = {frozenset(claim.key for claim in each.peer.members.present()) for each in there}
             if len(views) > 1:
                 verdict.agreed_after = -1
             elif verdict.agreed_after < 0:
--- a/limeridge/trial/faults.py
+++ b/limeridge/trial/faults.py
@@ -23,25 +23,21 @@
     cuts: Counter[tuple[int, int]] = field(default_factory=Counter)  # ways from, to
     slow: Counter[int] = field(default_factory=Counter)  # on all that one sends
     lost: float = 0.0
-    doubled: float = 0.0
-    late: float = 0.0  # share of datagrams that come out of order
     counts: Counter[str] = field(default_factory=Counter)
 
     def cut(self, source: int, target: int) -> bool:
         return self.cuts[(source, target)] > 0
 
-    def datagram(self, source: int, target: int) -> list[int]:
-        """Delays of the copies that arrive."""
+    def datagram(self, source: int, target: int) -> int | None:
+        """Its delay; None where it does not arrive."""
         if self.cut(source, target):
             self.counts["cut"] += 1
-            return []
+            return None
         if self.lost and self.chance.random() < self.lost:
             self.counts["lost"] += 1
-            return []
-        copies = 2 if self.doubled and self.chance.random() < self.doubled else 1
-        late = int(self.chance.uniform(0, 50_000)) if self.late and self.chance.random() < self.late else 0
+            return None
         self.counts["passed"] += 1
-        return [self.slow[source] + late] * copies
+        return self.slow[source]
 
     def whole(self, one: int, other: int) -> bool:
         """Whether a connection between them moves anything: both ways are needed."""
--- a/limeridge/trial/rig.py
+++ b/limeridge/trial/rig.py
@@ -42,7 +42,6 @@
 from limeridge.trial.scenario import Act, Kind, Trial
 
 PORT, PEER_PORT, KERNEL_PORT, LEDGER_PORT = 8443, 7950, 7300, 8900
-BESIDE = 127_000  # hosts of the stand-ins
 LOOK = 0.25  # seconds between two looks at what members show
 LATE = 0.02  # seconds of the timer by which the rig measures its own lateness
 STOP = 1_500  # milliseconds from the notice to leave to the kill
@@ -146,7 +145,7 @@
         self.faults = Faults(trial.instances, random.Random(f"faults {trial.seed}"))
         self.children: dict[int, Child] = {}
         self.doubles: list[Child] = []
-        self.logs: dict[Path, tuple[int, int]] = {}  # whose, and how far it was read
+        self.logs: dict[Path, int] = {}  # whose
         self.zero = 0.0  # Unix time at the end of the warm-up
         self.plan = draw(Ranges(), trial.seed)
         self.gone: set[str] = set()
@@ -154,7 +153,6 @@
         self.shown: dict[int, dict[str, Any]] = {}
         self.due = 0.0
         self.lives = 0
-        self.draining = False
 
     def now(self) -> int:
         return int((time.time() - self.zero) * 1e6)
@@ -269,7 +267,7 @@
         life = judge.Life(number, self.now(), double=place != number)
         self.record.lives.append(life)
         child = Child(number, name, host(101, place), process, life, log, f"{self.folder}/{place}.sock")
-        self.logs[log] = (number, 0)
+        self.logs[log] = number
         if place == number:
             self.children[number] = child
         else:
@@ -492,7 +490,7 @@
         return judge.judge(self.trial, self.record)
 
     def read_logs(self) -> None:
-        for log, (number, _) in self.logs.items():
+        for log, number in self.logs.items():
             for line in log.read_bytes().splitlines():
                 try:
                     told = orjson.loads(line)
--- a/limeridge/trial/virtual.py
+++ b/limeridge/trial/virtual.py
@@ -72,7 +72,7 @@
         self.trial = trial
         self.record = judge.Record(end=trial.over + trial.rest)
         self.held: dict[tuple[int, int], bool] = {}
-        self.known: dict[int, judge.Life] = {}  # by a process's own identity
+        self.lives: dict[Process, judge.Life] = {}
         self.most = -1
 
     def __call__(self, fleet: Fleet) -> None:
@@ -80,18 +80,14 @@
         current = [each for each in fleet.current if each is not None]
         everybody: list[Process] = [*current, *fleet.doubles]
         for process in everybody:
-            if id(process) not in self.known:
-                life = judge.Life(
-                    process.number, process.born - self.trial.warm, double=process in fleet.doubles
-                )
-                self.known[id(process)] = life
+            if process not in self.lives:
+                double = process in fleet.doubles
+                life = judge.Life(process.number, process.born - self.trial.warm, double=double)
+                self.lives[process] = life
                 self.record.lives.append(life)
-                self.keep = [*getattr(self, "keep", []), process]  # or its identity might be another's
-            if process.peer.leaving:
-                self.known[id(process)].told = True
-        alive = {id(each) for each in everybody if each.alive}
-        for known, life in self.known.items():
-            if known not in alive and life.end is None:
+            self.lives[process].told = self.lives[process].told or process.peer.leaving
+        for process, life in self.lives.items():
+            if not process.alive and life.end is None:
                 life.end = at
         for process in current:
             for claim in process.peer.members.others(*State):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,8 @@
 """Stand-ins: a host that makes legal events for one brain and checks the four rules after every step, the
 same through the facade, and the far ends of an instance's sockets in memory."""
 
+import time
+from collections.abc import Callable
 from traceback import format_exception
 from types import SimpleNamespace
 from typing import Any
@@ -18,6 +20,7 @@
 from limeridge.net.callers import Frames, frame
 from limeridge.net.service import Instance
 
+MOST = 30.0  # seconds that a condition may take, however slow the machine
 START = 5_000_000
 SLACK = 60_000
 PLAIN = {
@@ -34,6 +37,13 @@
 }
 
 
+def until(what: str, held: Callable[[], bool], most: float = MOST) -> None:
+    end = time.monotonic() + most
+    while not held():
+        assert time.monotonic() < end, f"not within {most:g} s: {what}"
+        time.sleep(0.05)
+
+
 class Host:
     def __init__(self, **changes: object) -> None:
         self.settings: dict[str, Any] = PLAIN | {key.replace("__", "."): changes[key] for key in changes}
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -6,13 +6,12 @@
 import socket
 import subprocess
 import tempfile
-import time
 import tomllib
-from collections.abc import Callable
 from pathlib import Path
 
 import orjson
 import pytest
+from helpers import until
 
 from limeridge.sim.plan import Ranges, draw
 
@@ -21,15 +20,6 @@
 MOST = 20.0
 
 
-def until(held: Callable[[], bool], most: float = MOST) -> bool:
-    end = time.monotonic() + most
-    while not held():
-        if time.monotonic() > end:
-            return False
-        time.sleep(0.01)
-    return True
-
-
 def shell(command: str, where: Path) -> subprocess.CompletedProcess[str]:
     return subprocess.run(["/bin/sh", "-c", command], cwd=where, capture_output=True, text=True, check=False)
 
@@ -83,14 +73,14 @@
         child = subprocess.Popen(["/bin/sh", "-c", DEPLOY["run"]], cwd=ROOT, env=env, stdout=log, stderr=log,
                                  start_new_session=True)
         try:
-            assert until(lambda: b'"start"' in os.pread(log.fileno(), 1 << 16, 0))
+            until("the line of its start", lambda: b'"start"' in os.pread(log.fileno(), 1 << 16, 0), MOST)
             host, _, port = config["listen"].rpartition(":")
 
             def there() -> bool:
                 with socket.socket() as caller:
                     return caller.connect_ex((host, int(port))) == 0
 
-            assert until(there)
+            until("somebody listens", there, MOST)
             proc = Path(f"/proc/{child.pid}")
             assert members(child.pid) == [child.pid], "one process, with no children"
             words = (proc / "cmdline").read_bytes().split(b"\0")
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -4,18 +4,17 @@
 import signal
 import subprocess
 import sys
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import orjson
 import pytest
+from helpers import MOST, until
 
 from limeridge.cli.peers import ask
 from limeridge.sim.plan import Ranges, draw
 
-MOST = 30.0  # seconds that a condition may take, however slow the machine
 PEERS = """fleet: "t"
 key_file: "{folder}/key"
 listen: ":7950"
@@ -27,13 +26,6 @@
 """
 
 
-def until(what: str, held: Callable[[], bool], most: float = MOST) -> None:
-    end = time.monotonic() + most
-    while not held():
-        assert time.monotonic() < end, f"not within {most:g} s: {what}"
-        time.sleep(0.05)
-
-
 class Fleet:
     """Processes `python -m limeridge --peers FILE`, each on an address of its own. Their kernels are not
     there: membership does without."""
