Play members inside whole instances: peers in the simulator's world, its faults and rules

What members do to txns, and txns to members, was never played together: membership was simulated without instances. The world gives each instance its link on virtual sockets, on a clock of its own that drifts; cuts, islands, flapping links, loss among peers join the faults; rules: the ledger's own count within the limit, all known and the limit in use after healing, datagrams within their bound. 27 defects of members in sim mutants. Members also find each other by the node list where it can be read (peers/seeds.py: full jitter, budget), tell whom they do not hear, and relays narrow, reorder and double. Trials run several at a time on addresses of their own.

--- a/limeridge/cli/peers.py
+++ b/limeridge/cli/peers.py
@@ -77,7 +77,9 @@
             f"epoch {share['epoch']} of {share['view']} members, "
             f"{share['voters']} voters answer, {share['quorum']} are needed"
         )
-    table = Table("name", "grade", "for s", "life", "incarnation", "at", "zone", "version", "agrees")
+    table = Table(
+        "name", "grade", "for s", "life", "incarnation", "at", "zone", "version", "agrees", "misses"
+    )
     for each in told["members"]:
         table.add_row(
             each["name"],
@@ -89,6 +91,7 @@
             each["zone"],
             each["version"],
             "yes" if each["agrees"] else "no",
+            ", ".join(each["misses"]),
         )
     Console(width=140).print(table)
 
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import orjson
 from twisted.internet.error import CannotListenError
@@ -29,6 +29,7 @@
 from limeridge.peers.members import Claim
 from limeridge.peers.messages import DATAGRAM_MOST, STREAM_MOST, Foreign, Message, Table, decode, encode
 from limeridge.peers.peer import Address, Peer, own_claim
+from limeridge.peers.seeds import Patience, Seeker
 from limeridge.peers.setup import PeerSetup
 
 MS = 1_000
@@ -59,6 +60,36 @@
         return
 
 
+class Listing(DatagramProtocol):
+    """The node list, where it can be read: it is told our address and asked who is there."""
+
+    noisy = False
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def ask(self) -> None:
+        link, transport = self.link, cast(Any, self.transport)
+        if transport is None or link.peer.seeker is None:
+            return
+        own, to = link.peer.own, (link.setup.node_list.host, link.setup.node_list.port)
+        for text in (f"AT {own.name} {own.host}:{own.port}", f"LIST {link.peer.seeker.asked}"):
+            try:
+                transport.write(text.encode(), to)
+            except OSError:
+                link.counts["list-unsent"] += 1
+
+    def datagramReceived(self, data: bytes, addr: Any) -> None:
+        words = data.decode("ascii", "replace").split(" ")
+        if len(data) > DATAGRAM_MOST or words[0] != "LISTED":
+            self.link.counts["list-strange"] += 1
+            return
+        self.link.listed(words[1:])
+
+    def connectionRefused(self) -> None:
+        self.link.counts["list-refused"] += 1
+
+
 class Stream(Int32StringReceiver):
     """One exchange of tables."""
 
@@ -189,7 +220,9 @@
         own = own_claim(
             setup.name, peers.advertise or self.listen, int(unix() * 1e6), nonce, peers.zone, __version__
         )
-        self.peer = Peer(own, peers.seeds, peers.habits, terms, chance, clock(), quiet=linger)
+        seeker = Seeker(Patience(), chance, clock()) if peers.from_list else None
+        self.peer = Peer(own, peers.seeds, peers.habits, terms, chance, clock(), linger, seeker)
+        self.listing = Listing(self) if peers.from_list else None
         self.gate = Gate(self.share, clock, linger)
         self.counts: Counter[str] = Counter()
         self.kept: deque[dict[str, object]] = deque(maxlen=EVENTS_KEPT)
@@ -221,6 +254,8 @@
         self._listen(LISTEN_TRIES)
         if self.show:
             self._listen_to_show()
+        if self.listing is not None:
+            self.ports.append(self.reactor.listenUDP(0, self.listing, interface=self.listen[0]))
         own, (host, port) = self.peer.own, self.listen
         self.log.event(
             "peers",
@@ -289,6 +324,10 @@
             return
         self._heard(message)
 
+    def listed(self, words: list[str]) -> None:
+        self.peer.listed(words, self.clock())
+        self._turn()
+
     def streamed(self, data: bytes) -> Table | None:
         message = self._read(data)
         return None if message is None else self._heard(message)
@@ -346,6 +385,10 @@
     def _turn(self) -> None:
         """Sends and logs what there is, and sets the timer."""
         peer = self.peer
+        if peer.asks_list:
+            peer.asks_list = False
+            if self.listing is not None:
+                self.listing.ask()
         out, peer.out = peer.out, []
         for send in out:
             self._send(send.to, send.message, send.stream)
@@ -381,6 +424,7 @@
             "stand_for_s": round((now - peer.reach.stand_since) / 1e6, 1),
             "present": len(peer.members.present()),
             "agree": peer.agree(),
+            "missed_by": peer.reach.missed_by(peer.own.name, now),
             "doubt": peer.detector.doubt,
             "stalls": peer.detector.stalls,
             "name_taken": peer.members.yields,
@@ -413,6 +457,7 @@
             "state": claim.state.name.lower(),
             "life": claim.life.number,
             "incarnation": claim.incarnation,
+            "misses": sorted(peer.reach.of(claim.name).misses),
             "at": f"{claim.host}:{claim.port}",
             "zone": claim.zone,
             "version": claim.version,
--- a/limeridge/peers/members.py
+++ b/limeridge/peers/members.py
@@ -24,6 +24,10 @@
 TELL_FACTOR = 3  # a claim is told this many times the logarithm of the members (SWIM, section 4.1)
 
 
+def bytes_of(text: str) -> int:
+    return len(text) if text.isascii() else len(text.encode())
+
+
 class State(IntEnum):
     """In the order in which one overrules the other at the same incarnation."""
 
@@ -61,8 +65,8 @@
 
     @property
     def texts(self) -> int:
-        """Characters in it, for its size on the wire."""
-        return len(self.name) + len(self.host) + len(self.zone) + len(self.version)
+        """Bytes of them, for its size on the wire."""
+        return bytes_of(self.name) + bytes_of(self.host) + bytes_of(self.zone) + bytes_of(self.version)
 
     @property
     def rank(self) -> tuple[Life, int, int]:
--- a/limeridge/peers/messages.py
+++ b/limeridge/peers/messages.py
@@ -43,6 +43,7 @@
     digest: int
     news: tuple[Claim, ...] = ()
     accusals: tuple[Accusal, ...] = ()
+    misses: tuple[str, ...] = ()  # names whose answers do not reach the sender
 
 
 class Ack(Struct, frozen=True, array_like=True, tag="a"):
@@ -55,6 +56,7 @@
     digest: int
     news: tuple[Claim, ...] = ()
     accusals: tuple[Accusal, ...] = ()
+    misses: tuple[str, ...] = ()
 
 
 class Nack(Struct, frozen=True, array_like=True, tag="n"):
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -11,11 +11,12 @@
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 from msgspec.structs import replace
 
 from limeridge.peers import probing
-from limeridge.peers.members import Change, Claim, Life, Members, State
+from limeridge.peers.members import Change, Claim, Life, Members, State, bytes_of
 from limeridge.peers.messages import (
     DATAGRAM_MOST,
     Accusal,
@@ -30,12 +31,14 @@
     Table,
 )
 from limeridge.peers.reach import Grade, Reach, Stand
+from limeridge.peers.seeds import Seeker
 from limeridge.peers.shares import NO_VIEW, Epoch, Holder, Offers, Terms, View, Voter
 
 MS = 1_000
 CLAIM_BYTES = 52  # of a claim on the wire, its texts aside, at the most
 HEAD_BYTES = 128  # of a message's other fields, a name of 64 among them, and its tag
 ACCUSALS_MOST = 6  # carried by one datagram
+MISSES_MOST = 6
 ACCUSALS_KEPT = 256
 RELAYS_MOST = 64  # probes in hand for others
 EVENTS_MOST = 1_000  # kept until somebody takes them
@@ -71,6 +74,15 @@
     reach_out: int = 2_000 * MS  # between two tries to reach one who is held dead, or a seed
     remember: int = 120_000 * MS  # that the gone are kept
 
+    @classmethod
+    def paced(
+        cls, interval: int, time_out: int = 0, helpers: int = 3, sync: int = 0, remember: int = 0
+    ) -> Habits:
+        """All that follows from the length of a round; 0 for what is not told."""
+        late = max(interval // 2, 50 * MS)
+        pace = probing.Pace(interval, time_out or int(0.3 * interval), helpers, late=late)
+        return cls(pace, sync or 10 * interval, interval, 2 * interval, remember or cls().remember)
+
 
 @dataclass(slots=True)
 class Relay:
@@ -92,6 +104,7 @@
         chance: random.Random,
         now: int,
         quiet: int = 0,
+        seeker: Seeker | None = None,
     ) -> None:
         self.habits, self.terms, self.chance = habits, terms, chance
         self.members = Members(own)
@@ -104,6 +117,8 @@
         self.offers = Offers(terms, own.name, own.life.nonce) if terms is not None else None
         self.out: list[Send] = []
         self.events: list[Event] = []
+        self.seeker = seeker
+        self.asks_list = False  # until whoever drives it has done so
         self.grades: dict[str, Grade] = {}
         self.accusals: dict[Accusal, int] = {}  # how often each was told
         self.relays: dict[int, Relay] = {}
@@ -129,6 +144,8 @@
             return min(times, default=1 << 62)
         if self.holder is not None:
             times.append(self.next_renew)
+        if self.seeker is not None:
+            times.append(self.seeker.next_at)
         return min([self.detector.next_at, self.next_sync, self.next_reach, *times])
 
     def wake(self, now: int) -> None:
@@ -141,6 +158,8 @@
                 self._tell("peers", "stood-still", stalls=self.detector.stalls)
             if self.holder is not None and now >= self.next_renew:
                 self._renew(now)
+            if self.seeker is not None and now >= self.seeker.next_at:
+                self._seek(self.seeker, now)
             if now >= self.next_reach:
                 self.next_reach = now + self.habits.reach_out
                 self._reach_out(now)
@@ -189,14 +208,16 @@
 
     def _ping(self, target: Claim, seq: int) -> None:
         first = [target.name] if target.state is not State.ALIVE else []
-        news, accusals = self._news(first)
-        self._say(target, Ping(seq, self.own, target.name, self.members.digest, news, accusals))
+        self._say(target, Ping(seq, self.own, target.name, self.members.digest, *self._news(first)))
 
-    def _news(self, first: Iterable[str]) -> tuple[tuple[Claim, ...], tuple[Accusal, ...]]:
+    def _news(self, first: Iterable[str]) -> tuple[tuple[Claim, ...], tuple[Accusal, ...], tuple[str, ...]]:
         room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.own.texts
+        there = sorted(claim.name for claim in self.members.others(State.ALIVE, State.SUSPECT))
+        misses = tuple(islice(self.reach.misses(there), MISSES_MOST))
+        room -= sum(bytes_of(name) + 3 for name in misses)
         accusals: list[Accusal] = []
         for accusal in sorted(self.accusals, key=lambda each: (self.accusals[each], each.name, each.by)):
-            takes = CLAIM_BYTES + len(accusal.name) + len(accusal.by)
+            takes = CLAIM_BYTES + bytes_of(accusal.name) + bytes_of(accusal.by)
             if len(accusals) >= ACCUSALS_MOST or takes > room // 2:  # half is left for claims
                 break
             accusals.append(accusal)
@@ -204,7 +225,7 @@
             self.accusals[accusal] += 1
             if self.accusals[accusal] >= self.members.tell_most():
                 del self.accusals[accusal]
-        return tuple(self.members.to_tell(room, CLAIM_BYTES, first)), tuple(accusals)
+        return tuple(self.members.to_tell(room, CLAIM_BYTES, first)), tuple(accusals), misses
 
     def _say(self, to: Claim, message: Message, stream: bool = False) -> None:
         self.out.append(Send((to.host, to.port), message, stream))
@@ -215,11 +236,28 @@
         if dead:
             self._ping(self.chance.choice(dead), 0)
         others = len(self.members.present()) - 1
-        known = {(claim.host, claim.port) for claim in self.members.present()}
+        known = self._addresses()
         missing = [seed for seed in self.seeds if seed not in known]
         if missing and (not others or self.chance.random() < 0.25):
             self._ask_table(self.chance.choice(missing))
 
+    def _addresses(self) -> set[Address]:
+        return {(claim.host, claim.port) for claim in self.members.present()}
+
+    def _seek(self, seeker: Seeker, now: int) -> None:
+        """Members by the node list: those that it named last time are tried, then it is asked again."""
+        for found in seeker.take(self._addresses()):
+            self._ask_table(found)
+        if seeker.ask(len(self.members.present()) - 1, now):
+            self.asks_list = True
+
+    def listed(self, words: Sequence[str], now: int) -> None:
+        """A part of the node list's answer."""
+        if self.seeker is not None and not self.leaving:
+            self.seeker.heard(words, (self.own.host, self.own.port))
+            for found in self.seeker.take(self._addresses()):
+                self._ask_table(found)
+
     def _sync(self, now: int) -> None:
         others = sorted(self.members.others(State.ALIVE), key=lambda claim: claim.name)
         if others:
@@ -276,8 +314,7 @@
         held = self.members.get(sender.name)
         # What we hold against it goes first, so that it can refute, or raise the number of its life.
         first = [sender.name] if held is not None and held.overrules(sender) else []
-        news, accusals = self._news(first)
-        self._say(sender, Ack(ping.seq, self.own, self.own.name, self.members.digest, news, accusals))
+        self._say(sender, Ack(ping.seq, self.own, self.own.name, self.members.digest, *self._news(first)))
 
     def _take_news(self, message: Ping | Ack, now: int) -> None:
         for claim in message.news:
@@ -285,6 +322,8 @@
         for accusal in message.accusals:
             self._accuse(accusal)
         name = message.own.name
+        seen = self.reach.of(name)
+        seen.misses, seen.said = frozenset(message.misses), now
         if message.digest == self.members.digest:
             self.alike.add(name)
         else:
@@ -316,9 +355,8 @@
         wait = self.habits.pace.time_out
         self.relays[self.relay_seq] = Relay(ask.own, ask.seq, ask.to, now + wait)
         target = self.members.get(ask.to) or replace(ask.own, name=ask.to, host=ask.host, port=ask.port)
-        news, accusals = self._news([ask.to])
         to = replace(target, host=ask.host, port=ask.port)
-        self._say(to, Ping(self.relay_seq, self.own, ask.to, self.members.digest, news, accusals))
+        self._say(to, Ping(self.relay_seq, self.own, ask.to, self.members.digest, *self._news([ask.to])))
 
     def _table(self, table: Table, now: int) -> Table | None:
         self.detector.heard_at = now
@@ -410,7 +448,7 @@
 
     def _spread(self, view: View) -> None:
         offer = Offer(self.own, view.epoch, tuple(sorted(view.keys)))
-        size = HEAD_BYTES + CLAIM_BYTES + self.own.texts + sum(len(key) + 2 for key in view.keys)
+        size = HEAD_BYTES + CLAIM_BYTES + self.own.texts + sum(bytes_of(key) + 3 for key in view.keys)
         for claim in self._voters():
             self._say(claim, offer, stream=size > DATAGRAM_MOST)
 
--- a/limeridge/peers/reach.py
+++ b/limeridge/peers/reach.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -38,6 +39,8 @@
     by_others: int = -1  # an answer that a helper brought
     unanswered: int = -1  # a direct probe that ran out of time
     back: int = -1  # when it came back from being gone
+    misses: frozenset[str] = frozenset()  # whose answers do not reach it, as it said
+    said: int = -1  # and when
 
 
 @dataclass
@@ -69,6 +72,19 @@
             return Grade.BACK
         return Grade.ALIVE
 
+    def misses(self, names: Iterable[str]) -> Iterator[str]:
+        """Those of `names` whose answers to our own probes do not come."""
+        for name in names:
+            seen = self.seen.get(name)
+            if seen is not None and seen.unanswered > seen.answered:
+                yield name
+
+    def missed_by(self, own: str, now: int) -> list[str]:
+        """Those who say that our answers do not reach them."""
+        return sorted(
+            name for name, seen in self.seen.items() if own in seen.misses and now - seen.said < self.fresh
+        )
+
     def look(self, present: int, known: int, heard_at: int, now: int) -> Stand:
         """`present` and `known` count ourselves; known are those present and those held dead, not those that
         left: they said so. Alone is who heard nobody for as long as a sign counts."""
--- /dev/null
+++ b/limeridge/peers/seeds.py
@@ -0,0 +1,98 @@
+"""When the node list is asked for members, and what its answer is good for.
+
+It owns the waits of a reader, its budget, and the reading of an answer. It must never take an entry of the
+list for a member: an entry is an address to try, and the list may be old, empty, or half there.
+
+A reader that knows others asks seldom; one that knows nobody asks soon, and then ever later: a wait drawn
+evenly from nothing up to a bound that doubles (full jitter), so that a fleet that starts at once does not ask
+at once. What it asks in a while has a budget, which an answer does not refill and a restart begins with half
+of.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+ENTRIES_MOST = 400  # of an answer; members hear of the others by gossip
+PARTS_MOST = 64
+TRIED_AT_ONCE = 3
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Patience:
+    """Times in microseconds."""
+
+    first: int = 500_000  # the first wait is drawn from up to this
+    longest: int = 20_000_000
+    seldom: int = 60_000_000  # between two askings of one who knows others
+    budget: int = 10  # askings within `seldom`
+
+
+class Seeker:
+    """What one instance asks of the list."""
+
+    def __init__(self, patience: Patience, chance: random.Random, now: int) -> None:
+        self.patience, self.chance = patience, chance
+        self.tries = 0
+        self.left = patience.budget / 2
+        self.filled_at = now
+        self.next_at = now + int(chance.uniform(0, patience.first))
+        self.found: list[Address] = []
+        self.parts: dict[int, list[Address]] = {}  # of the answer that is coming in
+        self.asked = 0  # its number
+
+    def ask(self, others: int, now: int) -> bool:
+        """Whether the list is to be asked now; `others` is how many members are known beside ourselves. To be
+        called at `next_at` or soon after."""
+        if now < self.next_at:
+            return False
+        patience = self.patience
+        gained = (now - self.filled_at) * patience.budget / patience.seldom
+        self.left = min(float(patience.budget), self.left + gained)
+        self.filled_at = now
+        if others:
+            self.tries = 0
+            self.next_at = now + int(self.chance.uniform(0.5, 1.5) * patience.seldom)
+        else:
+            bound = min(patience.longest, patience.first << min(self.tries, 16))
+            self.tries += 1
+            self.next_at = now + max(1, int(self.chance.uniform(0, bound)))
+        if self.left < 1:
+            return False
+        self.left -= 1
+        self.asked += 1
+        self.parts = {}
+        return True
+
+    def heard(self, words: Sequence[str], own: Address) -> None:
+        """`NUMBER PART PARTS HOST:PORT...` of an answer. What is of another asking, or no such thing, is
+        passed over; a part that never comes leaves those that did."""
+        if len(words) < 3 or not all(word.isdecimal() and len(word) < 10 for word in words[:3]):
+            return
+        number, part, parts = map(int, words[:3])
+        if number != self.asked or not 0 <= part < parts <= PARTS_MOST or part in self.parts:
+            return
+        addresses = (address_of(word) for word in words[3 : 3 + ENTRIES_MOST])
+        self.parts[part] = [each for each in addresses if each is not None and each != own]
+        self.found = [each for _, some in sorted(self.parts.items()) for each in some][:ENTRIES_MOST]
+
+    def take(self, known: set[Address]) -> list[Address]:
+        """Some to be tried, drawn anew: all readers must not fall on the first of the list."""
+        fresh = sorted(set(self.found) - known)
+        return self.chance.sample(fresh, min(TRIED_AT_ONCE, len(fresh)))
+
+
+def address_of(word: str) -> Address | None:
+    host, _, port = word.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return None
+    if not port.isdecimal() or not 1 <= int(port) <= 65_535:
+        return None
+    return host.strip("[]"), int(port)
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -12,7 +12,6 @@
 
 from limeridge.peers.messages import key_of
 from limeridge.peers.peer import Address, Habits
-from limeridge.peers.probing import Pace
 from limeridge.peers.shares import Terms
 from limeridge.settings import peers_pb2 as pb
 from limeridge.settings.load import Checked, load
@@ -38,6 +37,7 @@
     terms: Terms | None
     linger: int  # -1 where the configuration tells it
     longest_told: bool
+    from_list: bool = False  # members are also found by the node list
 
 
 def read(path: str) -> PeerSetup:
@@ -149,15 +149,12 @@
 
 def setup_of(message: pb.Peers) -> PeerSetup:
     interval = int((message.interval_ms or 1_000) * MS)
-    time_out = int(message.time_out_ms * MS) or int(0.3 * interval)
-    late = max(interval // 2, 50 * MS)
-    pace = Pace(interval=interval, time_out=time_out, helpers=message.helpers or 3, late=late)
-    habits = Habits(
-        pace,
-        sync=int(message.sync_ms * MS) or 10 * interval,
-        sync_soon=interval,
-        reach_out=2 * interval,
-        remember=int((message.remember_ms or 120_000) * MS),
+    habits = Habits.paced(
+        interval,
+        int(message.time_out_ms * MS),
+        message.helpers or 3,
+        int(message.sync_ms * MS),
+        int(message.remember_ms * MS),
     )
     shares = message.shares if message.HasField("shares") else None
     return PeerSetup(
@@ -171,4 +168,5 @@
         _terms(shares) if shares is not None else None,
         int(shares.linger_ms * MS) if shares is not None and shares.linger_ms else -1,
         shares is not None and shares.longest_ms > 0,
+        message.from_list,
     )
--- a/limeridge/sim/links.py
+++ b/limeridge/sim/links.py
@@ -36,6 +36,7 @@
         self.chance, self.weather = chance, weather
         self.cuts: dict[tuple[str, str], int] = {}  # ways from, to that are cut, and how many times
         self.slow: dict[str, int] = {}  # microseconds more to and from an address
+        self.lossy: dict[str, float] = {}  # share of the datagrams from an address that gets lost besides
 
     def delay(self, source: str, target: str, size: int = 0) -> int:
         """Microseconds from sending to arrival of `size` bytes."""
@@ -84,6 +85,8 @@
         """Delays of the copies that arrive: none where it is lost."""
         if self.cut(source, target) or self.chance.random() < self.weather.lost:
             return []
+        if self.lossy and self.chance.random() < self.lossy.get(source, 0.0):
+            return []
         copies = 2 if self.chance.random() < self.weather.doubled else 1
         late = 1 + 20 * (self.chance.random() < self.weather.late)
         return [self.delay(source, target) * late for _ in range(copies)]
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -16,7 +16,7 @@
 import sys
 import time
 import types
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from multiprocessing.pool import ThreadPool
 from pathlib import Path
@@ -26,6 +26,7 @@
 
 ROOT = Path(__file__).parent.parent
 RUN_MOST = 30  # seconds of a run that hangs
+ALONE = "members"  # the world of members alone, sim/gossip.py
 APART = 1_000_000  # between the first seeds of two starts
 
 
@@ -39,6 +40,11 @@
     new: str
     what: str
 
+    @property
+    def world(self) -> str:
+        """The scenario that it is sought in; empty where the one asked for will do."""
+        return "" if not self.file.startswith("peers/") else "peers" if self.file == GATE else ALONE
+
 
 @dataclass(slots=True, frozen=True)
 class Row:
@@ -57,6 +63,13 @@
 
 
 CALLERS, KERNEL, LEDGER = "net/callers.py", "net/kernel.py", "net/ledger.py"
+SHARES, MEMBERS, PROBING, PEER, GATE = (
+    "peers/shares.py",
+    "peers/members.py",
+    "peers/probing.py",
+    "peers/peer.py",
+    "peers/gate.py",
+)
 SERVICE, FACADE, CONFIG, BRAIN, NODES = (
     "net/service.py",
     "facade.py",
@@ -527,6 +540,196 @@
         "if (txn.left_out < txn.approach or stuck",
         "calls are left out that may not be",
     ),
+    _m(
+        "view-forgotten",
+        SHARES,
+        "if at + self.terms.hold > now",
+        "if at + self.terms.lease // 4 > now",
+        "a voter forgets what it allowed before that is over",
+    ),
+    _m(
+        "cap-of-new-view",
+        SHARES,
+        "cap = min([*parts, self.view.part(key, self.terms.surplus)])",
+        "cap = self.view.part(key, self.terms.surplus)",
+        "a voter looks at its newest view alone",
+    ),
+    _m(
+        "greatest-cap",
+        SHARES,
+        "else min(caps[best])",
+        "else max(caps[best])",
+        "a holder takes the greatest of the voters' answers",
+    ),
+    _m(
+        "quorum-half",
+        SHARES,
+        "+ self.doubles) // 2 + 1",
+        "+ self.doubles) // 2",
+        "two quorums may share nobody",
+    ),
+    _m(
+        "speaks-at-once",
+        SHARES,
+        "return now < self.born + self.terms.hold",
+        "return False",
+        "a voter that has started answers as if it knew",
+    ),
+    _m(
+        "lease-not-looked-at",
+        SHARES,
+        "if each.asked_at <= now < each.asked_at + self.terms.lease",
+        "if each.asked_at <= now",
+        "a holder goes on with answers that are over",
+    ),
+    _m(
+        "view-back",
+        SHARES,
+        "if view.epoch <= self.view.epoch:",
+        "if view.epoch == self.view.epoch:",
+        "a voter goes back to an older view",
+    ),
+    _m(
+        "parts-rounded-up",
+        SHARES,
+        "return each + (key in self.lucky(over))",
+        "return each + (over > 0)",
+        "what is left over is given to all",
+    ),
+    _m(
+        "floor-of-doubles",
+        SHARES,
+        "return self.limit - self.floor * (self.capacity + self.doubles)",
+        "return self.limit - self.floor * self.capacity",
+        "no floor is kept for a second process under one name",
+    ),
+    _m(
+        "no-quiet",
+        SHARES,
+        "self.terms, self.begins = terms, now + quiet",
+        "self.terms, self.begins = terms, now",
+        "a new life calls while its predecessor's calls are in hand",
+    ),
+    _m(
+        "nobody-offers",
+        SHARES,
+        "return bool(voters) and max(voters",
+        "return bool(voters) and min(voters, key=len) != self.own and max(voters",
+        "some fleets never get a new view",
+    ),
+    _m(
+        "older-life",
+        MEMBERS,
+        "return self.life, (1 << 62) if left else self.incarnation, int(self.state)",
+        "return Life(0, 0), (1 << 62) if left else self.incarnation, int(self.state)",
+        "lives are not told apart",
+    ),
+    _m(
+        "no-refutation",
+        MEMBERS,
+        "return self.restate(replace(old, incarnation=claim.incarnation + 1), now)",
+        "return None",
+        "a suspicion of ourselves is not answered",
+    ),
+    _m(
+        "life-not-raised",
+        MEMBERS,
+        "if claim.life > old.life and old.state is not State.LEFT:",
+        "if False:",
+        "a life made old by Unix time stepping back stays old",
+    ),
+    _m(
+        "news-once",
+        MEMBERS,
+        "if news.told >= self.tell_most():",
+        "if news.told >= 1:",
+        "a change is told once and no more",
+    ),
+    _m(
+        "dead-at-once",
+        PROBING,
+        "return self.begun + max(self.least, int(self.most - (self.most - self.least) * share))",
+        "return self.begun + self.least // 8",
+        "a suspicion does not wait for its refutation",
+    ),
+    _m(
+        "never-accused",
+        PROBING,
+        "        return [Accuse(claim)]\n",
+        "        return []\n",
+        "who does not answer is never suspected",
+    ),
+    _m(
+        "tongue-loose",
+        PROBING,
+        "        alone = now - max(self.heard_at, self.back_at)\n",
+        "        return False\n        alone = now - max(self.heard_at, self.back_at)\n",
+        "one that stood still or hears nobody holds others dead",
+    ),
+    _m(
+        "stall-unseen",
+        PROBING,
+        "if now - self.next_at > self.pace.late:",
+        "if now - self.next_at > 1_000 * self.pace.late:",
+        "one that stood still does not notice",
+    ),
+    _m(
+        "soon-alone",
+        PROBING,
+        "self.was_soon = bool(self.soon) and not self.was_soon",
+        "self.was_soon = True",
+        "suspects are probed and nobody else",
+    ),
+    _m(
+        "dead-not-tried",
+        PEER,
+        "                self._reach_out(now)\n",
+        "",
+        "those held dead are never tried again",
+    ),
+    _m(
+        "accusals-kept",
+        PEER,
+        "            if self.accusals[accusal] >= self.members.tell_most():\n",
+        "            if False:\n",
+        "accusations crowd all other news out",
+    ),
+    _m(
+        "overfull",
+        PEER,
+        "room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.own.texts",
+        "room = 2 * DATAGRAM_MOST",
+        "datagrams over their bound",
+    ),
+    _m(
+        "behind-not-pulled",
+        PEER,
+        "if self.voter is not None and epoch > self.voter.view.epoch:",
+        "if False:",
+        "a voter that is behind stays so",
+    ),
+    _m(
+        "gate-off-by-one",
+        GATE,
+        "if share is not None and self.in_hand() + 1 > share:",
+        "if share is not None and self.in_hand() > share:",
+        "one call more than the share",
+    ),
+    _m(
+        "left-behind-free",
+        GATE,
+        "        if left_behind:\n",
+        "        if False:\n",
+        "a call that was left behind is not counted",
+    ),
+    _m(
+        "gate-share-kept",
+        GATE,
+        "        share = self.share()\n        if share is not None and self.in_hand() + 1 > share:",
+        "        share = self.kept = max(getattr(self, 'kept', 0), self.share() or 0)\n"
+        "        if share is not None and self.in_hand() + 1 > share:",
+        "a share once had is kept",
+    ),
 )
 
 
@@ -583,15 +786,17 @@
     """In a process that has not imported the instance: seeds until it was found, and the rule that it
     broke."""
     sys.meta_path.insert(0, Patched(mutant))
-    from limeridge.sim.explore import run_seed
+    from limeridge.sim import explore, gossip
 
+    scenario = mutant.world or scenario
+    play: Callable[[str, int], Any] = gossip.run_seed if scenario == ALONE else explore.run_seed
     if not getattr(sys.modules[module_of(mutant)], "MUTANT", ""):
         raise Misplaced(f"{mutant.name}: {mutant.file} was imported before the defect was put in")
     signal.signal(signal.SIGALRM, _hung)
     for number in range(most):
         signal.alarm(RUN_MOST)
         try:
-            rule = run_seed(scenario, first + number).rule
+            rule = play(scenario, first + number).rule
         except Hung:
             rule = "hangs"
         except Exception as trouble:
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -62,6 +62,10 @@
     "guard": "nothing is forgotten until the guard finds it",
     "health": "health checks are answered",
     "livelock": "time goes on",
+    "limit": "calls in the ledger's hands within the fleet's limit",
+    "known": "after the quiet point all members know each other",
+    "in-use": "after the quiet point the limit is dealt out again",
+    "datagram": "no datagram is over its bound",
     "heals": "after the quiet point all is served again",
     "left-over": "nothing is left in any table",
 }
--- a/limeridge/sim/plan.py
+++ b/limeridge/sim/plan.py
@@ -51,6 +51,9 @@
     CUT_ONE_WAY = "cut-one-way"
     RESETS = "resets"  # connections of callers reset
     SLOW_WIRE = "slow-wire"
+    ISLANDS = "islands"  # instances in `amount` parts that don't reach each other
+    FLAP = "flap"  # an instance's links to the others, cut and mended again and again
+    PEER_LOSS = "peer-loss"  # share `amount` of all that instances send in datagrams
 
 
 AT_INSTANCE = (
@@ -69,8 +72,11 @@
     Kind.CUT_ONE_WAY,
     Kind.RESETS,
     Kind.SLOW_WIRE,
+    Kind.FLAP,
 )
 ENDS_LIVES = (Kind.KILL, Kind.DRAIN)
+AMONG = (Kind.ISLANDS, Kind.FLAP, Kind.PEER_LOSS)  # instances that know each other
+ALONE = tuple(kind for kind in Kind if kind not in AMONG)
 TRIGGERS = (
     "asked",
     "sched",
@@ -86,6 +92,7 @@
     "revoke",
 )
 FAR = ("kernel", "ledger", "callers", "node-list")
+PEERS = "peers"
 RUDE_KINDS = 14
 
 
@@ -141,6 +148,19 @@
     hedges: float
 
 
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """How the instances know each other and share the ledger's limit; times in microseconds."""
+
+    limit: int  # calls in the ledger's hands, of all
+    interval: int  # of a round of probes
+    lease: int
+    settle: int
+    floor_share: float
+    voters: int = 0  # the first so many; all where 0
+    linger: int = 100 * MS  # that a call left behind is counted for
+
+
 @dataclass(slots=True, frozen=True)
 class Plan:
     """All that a run is made of; times in microseconds from its start."""
@@ -169,6 +189,7 @@
     round: int = 5 * MS
     boot: int = 0  # microseconds that a kernel takes to come up
     checks: bool = True  # whether a caller makes health checks
+    fleet: Fleet | None = None  # None where each instance is by itself
 
     def config(self, number: int, moved: bool = False, life: int = 0) -> dict[str, Any]:
         """The configuration of an instance, in the platform's form; `moved` names the other addresses."""
@@ -231,6 +252,7 @@
         return len(self.asks) + 10 * len(self.faults)
 
 
+PEER_PORT = 7950
 LEDGER_IP, NODE_LIST_IP, RUDE_IP, PROBE_IP = "127.0.9.1", "127.0.9.5", "127.0.8.1", "127.0.8.9"
 
 
@@ -265,7 +287,7 @@
     op_ms: Range = (2, 60)
     calls: Range = (0, 2)
     faults: Range = (3, 9)
-    kinds: tuple[Kind, ...] = tuple(Kind)
+    kinds: tuple[Kind, ...] = ALONE
     scripted: tuple[Fault, ...] = ()
     quanta: tuple[int, ...] = (1, 1, 100, 1_000, 5_000)
     ties: Ties = Ties.DRAWN
@@ -276,6 +298,7 @@
     cold: float = 0.3  # share of seeds whose first lives start cold
     referenced: float = 0.4
     once_only: float = 0.15
+    peers: bool = False  # the instances know each other
 
 
 def whole(chance: random.Random, within: Range) -> int:
@@ -339,6 +362,25 @@
         cold=chance.random() < ranges.cold,
         round=chance.choice((0, 5 * MS)),
         boot=chance.choice((0, 0, 50 * MS, 300 * MS)),
+        fleet=draw_fleet(chance, instances, products, faults) if ranges.peers else None,
+    )
+
+
+def draw_fleet(
+    chance: random.Random, instances: int, products: Sequence[Product], faults: Sequence[Fault]
+) -> Fleet:
+    """Where a way to the ledger may be cut, the ledger may not see that a caller has gone: what was left
+    behind is then counted for as long as a call may take."""
+    unseen = any(fault.far == "ledger" for fault in faults)
+    longest = max(product.expiry for product in products)
+    return Fleet(
+        limit=instances * chance.choice((2, 3, 6)),
+        interval=chance.choice((100, 200)) * MS,
+        lease=chance.choice((400, 800)) * MS,
+        settle=chance.choice((50, 150)) * MS,
+        floor_share=chance.choice((0.4, 0.6)),
+        voters=chance.choice((0, 0, 3)) if instances > 3 else 0,
+        linger=longest if unseen else 100 * MS,
     )
 
 
@@ -437,6 +479,9 @@
         Kind.RESETS: (1, 6),
         Kind.SLOW_WIRE: (1_000, 200_000),
         Kind.KILL: (0.05, 0.8),
+        Kind.ISLANDS: (2, 3),
+        Kind.FLAP: (0.05, 0.3),
+        Kind.PEER_LOSS: (0.05, 0.4),
     }
     amount = spread(chance, amounts[kind]) if kind in amounts else 0.0
     if kind is Kind.CLOCK_STEP:
@@ -449,7 +494,9 @@
         lasts,
         target,
         amount,
-        chance.choice(FAR) if kind in (Kind.CUT, Kind.CUT_ONE_WAY) else "",
+        chance.choice((*FAR, *[PEERS] * 6) if ranges.peers else FAR)
+        if kind in (Kind.CUT, Kind.CUT_ONE_WAY)
+        else "",
         trigger,
         whole(chance, (1, 6)) if trigger else 1,
         chance.choice((0, 0, 100, 400, 1_000, 20_000)) if trigger else 0,
@@ -487,6 +534,7 @@
             "asks": tuple(Ask(**each) for each in value["asks"]),
             "faults": tuple(Fault(**each | {"kind": Kind(each["kind"])}) for each in value["faults"]),
             "ties": Ties(value["ties"]),
+            "fleet": Fleet(**value["fleet"]) if value.get("fleet") else None,
         }
     )
 
--- a/limeridge/trial/judge.py
+++ b/limeridge/trial/judge.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import asdict, dataclass, field
+from statistics import median
 from typing import Any
 
 from limeridge.trial.scenario import BLURS, Trial
@@ -60,6 +61,8 @@
     exceptions: int = 0
     lateness: int = 0  # microseconds, of the rig's own timer, at the worst
     end: int = 0
+    processor: list[float] = field(default_factory=list)  # of each process at the end, cores
+    memory: list[float] = field(default_factory=list)  # and the most it took, MB
 
 
 @dataclass(slots=True)
@@ -82,6 +85,8 @@
     states: dict[str, int] = field(default_factory=dict)
     exceptions: int = 0
     lateness_ms: int = 0
+    processor: float = 0.0  # cores of one process, the median
+    memory_mb: float = 0.0
 
     def plain(self) -> dict[str, Any]:
         return asdict(self)
@@ -101,6 +106,9 @@
         lateness_ms=record.lateness // 1_000,
     )
     verdict.busy = record.lateness > LATE_MOST
+    if record.processor:
+        verdict.processor = round(median(record.processor), 4)
+        verdict.memory_mb = round(median(record.memory), 1)
     verdict.broke += [f"crash: {crash}" for crash in record.crashes]
     if record.exceptions:
         verdict.broke.append(f"exceptions: {record.exceptions} lines with a trace")
--- a/limeridge/trial/relay.py
+++ b/limeridge/trial/relay.py
@@ -47,11 +47,12 @@
         source = relay.who.get(addr[0])
         if source is None:
             return
-        delay = relay.faults.datagram(source, relay.number)
-        if delay:
-            relay.reactor.callLater(delay / 1e6, self.forward, data)
-        elif delay is not None:
-            self.forward(data)
+        now = int(relay.reactor.seconds() * 1e6)
+        for delay in relay.faults.datagram(source, relay.number, len(data), now):
+            if delay:
+                relay.reactor.callLater(delay / 1e6, self.forward, data)
+            else:
+                self.forward(data)
 
     def forward(self, data: bytes) -> None:
         transport: Any = self.transport
--- a/limeridge/trial/scenario.py
+++ b/limeridge/trial/scenario.py
@@ -20,6 +20,7 @@
 SHARES = {"a fifth": 0.2, "a third": 1 / 3, "half": 0.5, "most": 0.6, "all": 1.0}
 COUNTS = {"one": 1, "two": 2}
 LETTERS = "abcdefghijklmnopqrstuvwxyz"
+LANES = 12  # trials at one time on one machine, each on addresses of its own
 
 
 class Kind(Enum):
@@ -39,11 +40,23 @@
     NODE_LIST_DOWN = "node-list-down"
     LEDGER_SLOW = "ledger-slow"
     STEP = "step"
+    BANDWIDTH = "bandwidth"
+    REORDER = "reorder"
+    COPIES = "copies"
 
 
-NOWHERE = (Kind.ISLANDS, Kind.LOSS, Kind.NODE_LIST_DOWN, Kind.LEDGER_SLOW)
+NOWHERE = (Kind.ISLANDS, Kind.LOSS, Kind.NODE_LIST_DOWN, Kind.LEDGER_SLOW, Kind.REORDER, Kind.COPIES)
 # A live member may be held dead under these for good reason.
-BLURS = (Kind.PAUSE, Kind.CUT, Kind.CUT_ONE_WAY, Kind.ISLANDS, Kind.FLAP, Kind.DELAY, Kind.DOUBLE)
+BLURS = (
+    Kind.PAUSE,
+    Kind.CUT,
+    Kind.CUT_ONE_WAY,
+    Kind.ISLANDS,
+    Kind.FLAP,
+    Kind.DELAY,
+    Kind.DOUBLE,
+    Kind.BANDWIDTH,
+)
 AMOUNTS: dict[Kind, tuple[float, float]] = {
     Kind.ISLANDS: (2, 10),
     Kind.FLAP: (20, 10_000),
@@ -52,6 +65,9 @@
     Kind.GARBLE: (1, 100_000),
     Kind.LEDGER_SLOW: (0.01, 1_000),
     Kind.STEP: (-1e7, 1e7),
+    Kind.BANDWIDTH: (100, 1e9),
+    Kind.REORDER: (0, 1),
+    Kind.COPIES: (0, 1),
 }
 
 
@@ -93,6 +109,8 @@
     terms: Terms
     acts: tuple[Act, ...]
     expect: Expect
+    file: str = ""  # what it was asked for by
+    list_join: bool = False
 
     @property
     def over(self) -> int:
@@ -225,4 +243,6 @@
         terms,
         acts,
         expect,
+        name,
+        message.list_join,
     )
