--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -43,6 +43,7 @@
 RELAYS_MOST = 64  # probes in hand for others
 EVENTS_MOST = 1_000  # kept until somebody takes them
 RENEWALS = 4  # askings within one lease
+LOOKS = 4  # at grades and reasons, in a round
 PULL_EVERY = 250 * MS  # between two pulls of whole tables from the same member
 
 Address = tuple[str, int]
@@ -126,7 +127,7 @@
         self.renew_seq = 0
         self.renewals: dict[int, int] = {}  # open askings and when they were made
         self.pulled: dict[str, int] = {}
-        self.next_sync = self.next_reach = self.next_renew = now
+        self.next_sync = self.next_reach = self.next_renew = self.next_look = now
         self.leaving = False
         self.alike: set[str] = set()  # those whose digest was ours when last heard
         self.was_yielding = False
@@ -175,7 +176,9 @@
             self.grades.pop(claim.name, None)
             self.pulled.pop(claim.name, None)
             self.alike.discard(claim.name)
-        self._look(now)
+        if now >= self.next_look or self.leaving:
+            self.next_look = now + self.habits.pace.interval // LOOKS
+            self._look(now)
 
     def leave(self, now: int) -> None:
         """Told before a drain: to as many as a claim is told, at once, so that no round need pass."""
@@ -387,6 +390,8 @@
                 where = f"{other.host}:{other.port}" if other is not None else ""
                 self._tell("peers", "name-taken" if self.was_yielding else "name-free", other=where)
             return
+        if claim == self.members.table.get(claim.name):
+            return  # by far the most of what comes says nothing new
         change = self.members.merge(claim, now)
         if change is not None:
             self._changed(change, now)
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -29,6 +29,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -106,11 +107,12 @@
 
     def __init__(self, terms: Terms, now: int) -> None:
         self.terms, self.born = terms, now
+        self._hold, self._surplus = terms.hold, terms.surplus
         self.view = NO_VIEW
         self.supported: dict[Epoch, tuple[View, int]] = {}  # and when last
 
     def silent(self, now: int) -> bool:
-        return now < self.born + self.terms.hold
+        return now < self.born + self._hold
 
     def offered(self, view: View) -> bool:
         """True where it is taken. One already known, or behind, changes nothing."""
@@ -123,11 +125,12 @@
         """The answer to a holder's asking; None where it must keep silent."""
         if self.silent(now):
             return None
-        self.supported = {
-            epoch: (view, at) for epoch, (view, at) in self.supported.items() if at + self.terms.hold > now
-        }
-        parts = [view.part(key, self.terms.surplus) for view, _ in self.supported.values()]
-        cap = min([*parts, self.view.part(key, self.terms.surplus)])
+        cap = self.view.part(key, self._surplus)
+        for epoch, (view, at) in list(self.supported.items()):
+            if at + self._hold <= now:
+                del self.supported[epoch]
+            elif view is not self.view:
+                cap = min(cap, view.part(key, self._surplus))
         # An answer that allows nothing promises nothing: it need not bind others.
         if cap > 0:
             self.supported[self.view.epoch] = self.view, now
@@ -148,6 +151,7 @@
         """`quiet`: microseconds from the start until the first call, in which what an earlier life under this
         name left behind at the ledger is over."""
         self.terms, self.begins = terms, now + quiet
+        self._quorum, self._floor = terms.quorum, terms.floor  # asked for before each call
         self.supports: dict[str, Supported] = {}
 
     def answered(self, voter: str, epoch: Epoch, cap: int, asked_at: int) -> None:
@@ -158,12 +162,9 @@
         if held is None or asked_at >= held.asked_at:
             self.supports[voter] = Supported(epoch, max(0, cap), asked_at)
 
-    def _current(self, now: int) -> dict[str, Supported]:
-        return {
-            name: each
-            for name, each in self.supports.items()
-            if each.asked_at <= now < each.asked_at + self.terms.lease
-        }
+    def _current(self, now: int) -> list[Supported]:
+        since = now - self.terms.lease
+        return [each for each in self.supports.values() if since < each.asked_at <= now]
 
     def in_reach(self, now: int) -> int:
         """Voters whose answers still count, whatever their epoch."""
@@ -171,17 +172,18 @@
 
     def surplus(self, now: int) -> int | None:
         """The least of the caps under the highest epoch that a quorum supports just now; None without one."""
-        caps: dict[Epoch, list[int]] = {}
-        for each in self._current(now).values():
-            caps.setdefault(each.epoch, []).append(each.cap)
-        best = max((epoch for epoch, each in caps.items() if len(each) >= self.terms.quorum), default=None)
-        return None if best is None else min(caps[best])
+        current = self._current(now)
+        if len(current) < self._quorum:
+            return None
+        epochs = Counter(each.epoch for each in current)
+        best = max((epoch for epoch, count in epochs.items() if count >= self._quorum), default=None)
+        return None if best is None else min(each.cap for each in current if each.epoch == best)
 
     def share(self, now: int) -> int:
         """Calls in hand that this instance may have now. To be asked for before each call."""
         if now < self.begins:
             return 0
-        return self.terms.floor + (self.surplus(now) or 0)
+        return self._floor + (self.surplus(now) or 0)
 
     def why(self, now: int) -> str:
         """A reason code for the share."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -511,7 +511,7 @@
     if defect == "hold":  # a voter forgets what it allowed at once
         monkeypatch.setattr(Terms, "hold", property(lambda self: 1))
     elif defect == "lease":  # a holder goes on with answers that are over
-        monkeypatch.setattr(Holder, "_current", lambda self, now: self.supports)
+        monkeypatch.setattr(Holder, "_current", lambda self, now: list(self.supports.values()))
     elif defect == "quorum":  # one voter is enough
         monkeypatch.setattr(Terms, "quorum", property(lambda self: 1))
     elif defect == "silent":  # a voter that has started answers as if it knew
