--- a/limeridge/cli/peers.py
+++ b/limeridge/cli/peers.py
@@ -8,7 +8,11 @@
 
 import multiprocessing
 import os
+import random
 import socket
+import statistics
+import subprocess
+import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -238,6 +242,72 @@
     Console(width=120).print(table)
 
 
+@peers.command("cost")
+@click.option("--members", type=click.IntRange(3, 200), default=20, show_default=True)
+@click.option("--voters", type=click.IntRange(0, 20), default=5, show_default=True, help="0: all.")
+@click.option("--pairs", type=click.IntRange(1, 100), default=8, show_default=True)
+@click.option("--rate", type=click.FloatRange(1, 5_000), default=400.0, show_default=True, help="Txns/s.")
+@click.option("--seconds", type=click.FloatRange(1, 600), default=10.0, show_default=True, help="Of load.")
+@AS_JSON
+def cost(members: int, voters: int, pairs: int, rate: float, seconds: float, as_json: bool) -> None:
+    """What membership costs a txn: real processes, the same traffic with and without, in pairs."""
+    rows = _rows("limeridge.trial.cost", members, pairs, rate, seconds, voters)
+    if as_json:
+        click.echo(orjson.dumps(rows))
+        return
+    table = Table("pair", "peers", "txns", "settled", "processor us a txn", "of a core", "p50 ms", "p99 ms")
+    for row in rows:
+        table.add_row(
+            *(str(row[name]) for name in ("pair", "peers", "txns", "settled", "processor_us")),
+            *(str(row[name]) for name in ("processor", "p50_ms", "p99_ms")),
+        )
+    Console(width=120).print(table)
+    for name in ("processor_us", "p50_ms", "p99_ms"):
+        ratios = [
+            next(r[name] for r in rows if r["pair"] == pair and r["peers"])
+            / next(r[name] for r in rows if r["pair"] == pair and not r["peers"])
+            for pair in range(pairs)
+        ]
+        low, high = interval(ratios)
+        click.echo(
+            f"{name}: with peers {statistics.median(ratios):.3f} of without (median of "
+            f"{pairs} pairs; 95% of resampled medians {low:.3f} to {high:.3f})"
+        )
+
+
+def interval(ratios: list[float], times: int = 2_000) -> tuple[float, float]:
+    """Percentile bootstrap of the median (Efron 1979), the same for the same figures."""
+    chance = random.Random(1)
+    medians = sorted(statistics.median(chance.choices(ratios, k=len(ratios))) for _ in range(times))
+    return medians[int(0.025 * times)], medians[int(0.975 * times)]
+
+
+def _rows(module: str, *words: object) -> list[dict[str, Any]]:
+    done = subprocess.run(
+        [sys.executable, "-m", module, *map(str, words)], stdout=subprocess.PIPE, check=False
+    )
+    if done.returncode:
+        raise click.ClickException(f"the measurement ended with {done.returncode}")
+    return [orjson.loads(line) for line in done.stdout.splitlines()]
+
+
+@peers.command("crowd")
+@click.option("--processes", type=click.IntRange(3, 400), default=200, show_default=True)
+@click.option("--voters", type=click.IntRange(0, 20), default=5, show_default=True, help="0: all.")
+@click.option("--seconds", type=click.FloatRange(1, 600), default=20.0, show_default=True, help="Weighed.")
+@AS_JSON
+def crowd(processes: int, voters: int, seconds: float, as_json: bool) -> None:
+    """Many real instances at rest, with peers and without: memory and processor of each, when all know all."""
+    rows = [
+        row for peers in (0, 1) for row in _rows("limeridge.trial.crowd", processes, peers, voters, seconds)
+    ]
+    click.echo(
+        orjson.dumps(rows)
+        if as_json
+        else "\n".join(", ".join(f"{name} {value}" for name, value in row.items()) for row in rows)
+    )
+
+
 def _size(job: tuple[str, int, float]) -> Any:
     from limeridge.sim import size as sizes
 
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -163,7 +163,7 @@
 
 
 class Shown(LineReceiver):
-    """One question on the read-only socket: `show` or `events`, answered by one JSON line."""
+    """One question on the read-only socket: `show`, `brief` or `events`, answered by one JSON line."""
 
     delimiter = b"\n"
     MAX_LENGTH = LINE_MOST
@@ -176,10 +176,12 @@
         asked = line.strip()
         if asked == b"show":
             told: object = self.link.snapshot()
+        elif asked == b"brief":
+            told = self.link.brief()
         elif asked == b"events":
             told = list(self.link.kept)
         else:
-            told = {"error": "expected show or events"}
+            told = {"error": "expected show, brief or events"}
         self.transport.write(orjson.dumps(told, default=str) + b"\n")
         self.transport.loseConnection()
 
@@ -414,6 +416,17 @@
 
     # ---- showing
 
+    def brief(self) -> dict[str, object]:
+        """What takes no longer to say of a thousand members than of three."""
+        peer = self.peer
+        return {
+            "name": peer.own.name,
+            "life": peer.own.life.number,
+            "present": len(peer.members.present()),
+            "digest": f"{peer.members.digest:016x}",
+            "calls": self.share(),
+        }
+
     def snapshot(self) -> dict[str, object]:
         peer, now = self.peer, self.clock()
         members = [self._shown(claim, now) for _, claim in sorted(peer.members.table.items())]
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -42,7 +42,7 @@
 ACCUSALS_KEPT = 256
 RELAYS_MOST = 64  # probes in hand for others
 EVENTS_MOST = 1_000  # kept until somebody takes them
-RENEWALS = 4  # askings within one lease
+RENEWALS = 4  # looks within one lease at which voters are to be asked
 LOOKS = 4  # at grades and reasons, in a round
 PULL_EVERY = 250 * MS  # between two pulls of whole tables from the same member
 
@@ -449,7 +449,8 @@
             if answer is not None:
                 holder.answered(self.own.name, *answer, now)
         for claim in self._voters():
-            self._say(claim, Renew(self.renew_seq, self.own, voter.view.epoch))
+            if holder.wants(claim.name, highest, now):
+                self._say(claim, Renew(self.renew_seq, self.own, voter.view.epoch))
 
     def _spread(self, view: View) -> None:
         offer = Offer(self.own, view.epoch, tuple(sorted(view.keys)))
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -194,6 +194,13 @@
             return "few-voters" if self.in_reach(now) < self.terms.quorum else "voters-differ"
         return "dealt" if surplus > 0 else "floor-only"
 
+    def wants(self, voter: str, epoch: Epoch, now: int) -> bool:
+        """Whether it is time to ask this voter again: half a lease after the last asking that it answered, or
+        at once where that answer was under an older epoch than the highest known. Half a lease is left for
+        askings and answers that get lost."""
+        held = self.supports.get(voter)
+        return held is None or held.epoch < epoch or 2 * (now - held.asked_at) >= self.terms.lease
+
     def highest(self) -> Epoch:
         return max((each.epoch for each in self.supports.values()), default=NO_EPOCH)
 
--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -46,6 +46,7 @@
     "narrow",
     "reorder",
     "copies",
+    "amnesia",
 )
 
 
@@ -337,7 +338,7 @@
     _all = _kill
 
     def _replace(self, trouble: Trouble) -> None:
-        """One after the other: told to leave, gone a moment later, a successor at once."""
+        """One after the other: told to leave, gone when its drain is over, a successor at once."""
         apart = max(1, trouble.lasts // max(1, len(trouble.who)))
         for place, number in enumerate(trouble.who):
             self.after(place * apart, partial(self._leave, number))
@@ -353,7 +354,7 @@
                 self.kill(process)
                 self.start(number)
 
-        self.after(300 * MS, end)
+        self.after(int(self.chance.uniform(100, 1_200) * MS), end)
 
     def _pause(self, trouble: Trouble) -> Callable[[], None]:
         paused = self.chosen(trouble)
@@ -635,7 +636,7 @@
                 continue
             doubled = True
         at = begin + int(chance.uniform(0, 0.7) * span)
-        longest = 18 if kind in ("kill", "step") else 8
+        longest = {"kill": 18, "step": 18, "cut": 16, "islands": 16}.get(kind, 8)
         lasts = int(chance.uniform(0.1, 1.0) * min(span - (at - begin), longest * SECOND))
         share = {
             "kill": (0.05, 0.4),
@@ -647,7 +648,13 @@
             "step": (0.05, 0.3),
         }.get(kind, (0.05, 0.3))
         number = max(1, min(members, round(chance.uniform(*share) * members)))
-        who = tuple(sorted(chance.sample(range(members), 1 if kind in ("double", "flap") else number)))
+        if kind in ("double", "flap"):
+            number = 1
+        elif kind == "amnesia":  # more than half forget, the others still hold what they were dealt
+            number = members // 2 + 1
+        elif kind == "cut" and chance.random() < 0.5:
+            number = max(1, members // 2)
+        who = tuple(sorted(chance.sample(range(members), number)))
         amount = {
             "loss": chance.uniform(0.1, 0.4),
             "slow": chance.uniform(0.05, 0.6),
@@ -657,6 +664,11 @@
             "copies": chance.uniform(0.1, 0.5),
             "step": chance.choice((-60.0, 60.0, -3600.0)),
         }.get(kind, 0.0)
+        if kind == "amnesia":
+            others = tuple(each for each in range(members) if each not in who)
+            troubles.append(Trouble("cut", at, max(lasts, 4 * SECOND), others))
+            troubles.append(Trouble("kill", at + 20 * MS, int(chance.uniform(30, 300) * MS), who))
+            continue
         troubles.append(Trouble(kind, at, lasts, who, amount))
     quiet = begin + span
     return Setting(
--- a/limeridge/standins/callers.py
+++ b/limeridge/standins/callers.py
@@ -73,6 +73,7 @@
     tries: int = 0
     state: str = "open"  # settled, declined, voided, given up
     maybe_ran: str = ""  # the node where it may have run
+    ended: float = 0.0
     avoid: dict[str, None] = field(default_factory=dict)
 
 
@@ -319,7 +320,7 @@
 
     def finish(self, case: Case, state: str) -> None:
         if case.state == "open":
-            case.state = state
+            case.state, case.ended = state, self.reactor.seconds()
             self.count(state)
 
     def count(self, what: str) -> None:
