--- a/limeridge/cli/peers.py
+++ b/limeridge/cli/peers.py
@@ -297,7 +297,7 @@
 @click.option("--seconds", type=click.FloatRange(1, 600), default=20.0, show_default=True, help="Weighed.")
 @AS_JSON
 def crowd(processes: int, voters: int, seconds: float, as_json: bool) -> None:
-    """Many real instances at rest, with peers and without: memory and processor of each, when all know all."""
+    """Many real instances at rest, with peers and without: what each takes, and when all know all."""
     rows = [
         row for peers in (0, 1) for row in _rows("limeridge.trial.crowd", processes, peers, voters, seconds)
     ]
--- a/limeridge/trial/crowd.py
+++ b/limeridge/trial/crowd.py
@@ -1,5 +1,5 @@
-"""`python -m limeridge.trial.crowd PROCESSES PEERS VOTERS SECONDS`: many real instances at rest on one machine;
-prints what each takes and, with PEERS 1, when all knew all, as JSON.
+"""`python -m limeridge.trial.crowd PROCESSES PEERS VOTERS SECONDS`: many real instances at rest on one
+machine; prints what each takes and, with PEERS 1, when all knew all, as JSON.
 
 It owns the processes and what stands round them. It must never open a socket off loopback. The members reach
 each other straight, with no relays between: nothing but them is to be weighed.
