--- /dev/null
+++ b/limeridge/duty/ballots.py
@@ -0,0 +1,171 @@
+"""What one voter has promised for one duty, and what it may say after a restart that made it forget.
+
+It owns tokens and their order, the promise, its lapse, and the silence and recovery of a voter that has
+started. It must never look at a clock, send anything or draw: times are handed in, microseconds on the
+voter's own clock, which also runs while the process stands still.
+
+1. A voter promises a duty to one holder at a time, under one token, until the promise has lapsed as it
+   counts it or that holder gave it back. It refuses everybody else meanwhile.
+2. The promise runs from when the asking came in, the holder's lease from before it was sent; and the voter
+   counts longer by the drift of both clocks. So a holder's lease is over before the promises that it rests
+   on.
+3. A voter that has started is silent until `hold` has passed: whatever an earlier life promised is over then.
+4. Two quorums share a voter. Hence no two hold a duty at one true time.
+5. A voter grants no token below the highest that it knows of. One that has started does not know what it
+   granted before: it hears so from a quorum of others that did not forget. Where it finds none for a while
+   (most have forgotten, or the rest are gone) it votes all the same, for a duty must be had again; tokens
+   then go by Unix time, by what members remember and by what the resource says (`docs/design/duty.md`).
+
+The nearest published way is PaxosLease (Trencseni, Gazso, Reinhardt 2012): promises in memory, a proposer's
+time that starts before it proposes, restarted acceptors that wait. We leave its first phase out: a
+candidate that is refused gives back what it got, and a token that is behind is refused with the highest
+known. That costs a second round where it is behind and spares one everywhere else; a voter of PaxosLease
+may take a higher ballot's proposal while a lower one's lease runs only if a majority said in the first
+phase that there was none, which rule 1 says by itself.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from msgspec import Struct
+
+
+class Token(Struct, frozen=True, array_like=True, order=True):
+    """What a resource compares: greater is newer. `number` is Unix time in microseconds, or one more than the
+    highest known; `name` and `nonce`, of the life that asks, tell apart what two draw at one time."""
+
+    number: int = 0
+    name: str = ""
+    nonce: int = 0
+
+    @property
+    def key(self) -> str:
+        """The life that holds under it."""
+        return f"{self.name}/{self.nonce:x}"
+
+
+NONE = Token()
+PATIENCE = 1.25  # holds from its start until a voter that finds no quorum that remembers votes without one
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """Of one duty; the same at all instances. Times in microseconds."""
+
+    lease: int = 3_000_000
+    drift: float = 0.001  # of each clock
+    margin: int = 50_000  # that a holder stops before its lease is over, for the act in hand
+
+    @property
+    def hold(self) -> int:
+        """As long as a voter counts it, a lease is surely over for its holder."""
+        return int(self.lease * (1 + self.drift) / (1 - self.drift)) + 1
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """To an asking under `token`. `why` is empty where the duty was granted."""
+
+    token: Token
+    why: str  # "", held, behind, over, kept, old-set
+    highest: Token
+    holder: str = ""  # of a refusal: the life that the promise is for
+    left: int = 0  # microseconds until it lapses
+
+
+@dataclass(slots=True)
+class Promise:
+    """Of one voter for one duty."""
+
+    terms: Terms
+    token: Token = NONE
+    until: int = 0
+    highest: Token = NONE
+    over: Token = NONE  # the highest that was given back: no asking under it counts any more
+    kept_for: str = ""  # a successor's name that the duty was passed to
+    kept_until: int = 0
+
+    def stands(self, now: int) -> bool:
+        return self.token != NONE and now < self.until
+
+    def asked(self, token: Token, now: int) -> Answer:
+        """A first asking and a renewal alike: a holder asks again under its own token."""
+        if self.stands(now) and self.token != token:
+            return Answer(token, "held", self.highest, self.token.key, self.until - now)
+        if token <= self.over:
+            return Answer(token, "over", self.highest)
+        if token < self.highest:
+            return Answer(token, "behind", self.highest)
+        if now < self.kept_until and token.name != self.kept_for:
+            return Answer(token, "kept", self.highest, self.kept_for, self.kept_until - now)
+        self.token, self.highest = token, token
+        self.until = now + self.terms.hold
+        self.kept_until = 0
+        return Answer(token, "", token)
+
+    def given_back(self, token: Token, successor: str, keep: int, now: int) -> None:
+        """By its holder, which acts no more. For `keep` microseconds only the successor may have it."""
+        self.over = max(self.over, token)
+        self.highest = max(self.highest, token)
+        if self.token == token:
+            self.token, self.until = NONE, 0
+            if successor:
+                self.kept_for, self.kept_until = successor, now + keep
+
+    def learned(self, highest: Token) -> None:
+        self.highest = max(self.highest, highest)
+
+
+@dataclass(slots=True)
+class Voter:
+    """One voter's promises, of all duties, and its recovery after a start."""
+
+    own: str
+    terms: dict[str, Terms]
+    quorum: int
+    born: int
+    promises: dict[str, Promise] = field(default_factory=dict)
+    told: dict[str, bool] = field(
+        default_factory=dict
+    )  # voters that told what they know; True: they remember
+
+    def promise(self, duty: str) -> Promise:
+        if duty not in self.promises:
+            self.promises[duty] = Promise(self.terms[duty])
+        return self.promises[duty]
+
+    def silent(self, now: int) -> bool:
+        return now < self.born + self.longest
+
+    @property
+    def longest(self) -> int:
+        return max((each.hold for each in self.terms.values()), default=0)
+
+    def remembers(self) -> bool:
+        """Whether each token that a quorum granted before is known here: a quorum of others, of which one at
+        least granted it too, told what they know."""
+        return sum(each for name, each in self.told.items() if name != self.own) >= self.quorum
+
+    def votes(self, now: int) -> bool:
+        return not self.silent(now) and (self.remembers() or now >= self.born + int(PATIENCE * self.longest))
+
+    def asked(self, duty: str, token: Token, now: int) -> Answer | None:
+        """None where it must keep silent, or knows of no such duty."""
+        if duty not in self.terms or not self.votes(now):
+            return None
+        return self.promise(duty).asked(token, now)
+
+    def given_back(self, duty: str, token: Token, successor: str, keep: int, now: int) -> None:
+        if duty in self.terms:
+            self.promise(duty).given_back(token, successor, keep, now)
+
+    def hears(self, voter: str, remembers: bool, highest: dict[str, Token]) -> None:
+        """Another voter's word: the highest tokens that it knows of, and whether it remembers all."""
+        self.told[voter] = self.told.get(voter, False) or remembers
+        for duty, token in highest.items():
+            if duty in self.terms:
+                self.promise(duty).learned(token)
+
+    def knows(self) -> dict[str, Token]:
+        return {duty: each.highest for duty, each in self.promises.items() if each.highest != NONE}
