--- a/limeridge/duty/check.py
+++ b/limeridge/duty/check.py
@@ -1,14 +1,21 @@
-"""An exhaustive search over the decisions of duties themselves: voters, tenures and electorates as they
+"""An exhaustive search over the decisions of duties themselves: promises, tenures and electorates as they
 stand in the program, on a small clock, with a network that delays, reorders, loses and doubles, with
 restarts, pauses and clocks that drift.
 
-It owns the scopes (how many of what), the events, the states that were met and the shortest way to a break.
-It must never model what a voter or a holder does: it calls them. Time is whole ticks. A message may arrive
-at any later time or never, so a pause of a process, between any two of its steps, is part of each scope:
-nothing makes it take a step.
+It owns the scopes (how many of what may happen), the events, the states met and the shortest way to a break.
+It must never model what a voter or a holder does: it calls them. A state holds no clock: each time in it is
+what is left of it, and objects of the program are made anew around one fixed `NOW` for each event.
 
-What must hold in each state: no two processes hold the duty, each by its own clock; and a token that begins
-to hold is above all that held before, where no more voters have forgotten than the scope allows for.
+Time is whole ticks. Within one, processes have their turns in a fixed order: candidates' steps, voters,
+candidates' answers; at its turn a process does as many of its events, in any order, as it may, or none. What
+two processes do in a tick touches nothing in common, so other orders come to the same states. A message may
+arrive at any turn of its receiver from then on, or never: so a pause of any process, between any two of its
+steps, is part of each scope. An answer comes at once or never, but where a scope has it come late: when it
+is heard changes nothing about how long it counts. Voters are alike: states that differ in their order alone
+are one.
+
+What must hold in each state: no two hold the duty, each by its own clock; and a token that holds is not below
+one that held before.
 """
 
 from __future__ import annotations
@@ -17,14 +24,16 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
-from typing import Any
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
 
-from limeridge.duty.ballots import NONE, Answer, Promise, Terms, Token, Voter
+from limeridge.duty.ballots import NONE, PATIENCE, Answer, Promise, Terms, Token, Voter
 from limeridge.duty.electorate import Electorate, Standing
 from limeridge.duty.tenure import Tenure
 
 DUTY = "d"
+NOW = 1_000
+NAMES = "xyz"
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,366 +45,377 @@
     about: str
     voters: int = 3
     unix: tuple[int, ...] = (9, 4)
-    ticks: int = 6
+    ticks: int = 5
     begins: int = 1  # of each candidate
-    renewals: int = 0
+    renewals: int = 0  # of all
     gives: int = 0
-    restarts: int = 0
-    doubled: int = 0
-    drifts: int = 0  # clocks that go a tick more or less, once each
+    restarts: int = 0  # of voters
+    doubled: int = 0  # messages that arrive twice
+    drifts: int = 0  # times that a clock goes a tick more or less
+    late: int = 0  # ticks past its asker's lease that an answer may come
     tokens: bool = True  # whether tokens must grow
-    versions: tuple[tuple[str, ...], ...] = ()  # sets of voters by version, where they change
     lease: int = 2
     drift: float = 0.25
 
 
-SCOPES = (
-    Scope("plain", "delays, losses, reordering, one clock that drifts", drifts=1, ticks=5),
-    Scope("again", "a second asking of each, given back or lapsed", begins=2, gives=1, ticks=4, voters=3),
-    Scope("renewed", "renewals, a message doubled", renewals=1, doubled=1, ticks=4),
-    Scope("restarted", "a voter restarts and has forgotten", restarts=1, ticks=7),
-    Scope("sets", "the set of voters changes by a name at a time", restarts=0, ticks=1, tokens=False,
-          versions=(("a", "b", "c"), ("a", "b"), ("a", "b", "d"))),
-)  # fmt: skip
-QUICK = ("plain", "again", "renewed", "restarted", "sets")
+QUICK = (
+    Scope("plain", "askings late, lost or out of order, a clock that drifts", drifts=1),
+    Scope("late", "answers late too, up to after the lease that they grant", late=3, ticks=4),
+    Scope("again", "two askings of each, given back or lapsed", begins=2, gives=1, ticks=4),
+    Scope("renewed", "a renewal, a message doubled", renewals=1, doubled=1, ticks=4),
+    Scope("restarted", "a voter restarts and has forgotten", restarts=1, ticks=6),
+)
 FULL = (
-    *SCOPES,
-    Scope("drifting", "two clocks that drift", drifts=2, ticks=6),
-    Scope("restarted-twice", "two restarts, one after the other or at once", restarts=2, ticks=8, tokens=False),
-    Scope("all", "a renewal, a restart, a doubled message and a drift in one", renewals=1, restarts=1,
-          doubled=1, drifts=1, ticks=5, tokens=False),
+    *QUICK,
+    Scope("drifting", "two drifts of any clocks", drifts=2, ticks=6),
+    Scope("late-drift", "answers late and a clock that drifts", late=3, drifts=1, ticks=5),
+    Scope("twice", "two restarts, at once or one after the other", restarts=2, ticks=7, tokens=False),
+    Scope("five", "five voters, one of them restarts", voters=5, restarts=1, ticks=5, tokens=False),
+    Scope("all", "a renewal, a restart, a doubled message and a drift", renewals=1, restarts=1,
+          doubled=1, drifts=1, ticks=6, tokens=False),
 )  # fmt: skip
 
 
-# ---- messages: as they pass between the I/O halves, whose part the events below play
-
+class Ask(NamedTuple):
+    """On its way to a voter. `left` of the asker's lease, by its clock; 0 for one that is given back."""
 
-@dataclass(slots=True, frozen=True, order=True)
-class Asking:
-    voter: int
     candidate: int
     token: Token
-    asked_at: int
-    version: int = 0
+    left: int
+    gives: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class Answered:
-    voter: int
+class Reply(NamedTuple):
     candidate: int
-    answer: Answer
-    asked_at: int
-    version: int = 0
+    token: Token
+    why: str
+    highest: Token
+    left: int
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class Given:
-    voter: int
-    token: Token
+class VoterState(NamedTuple):
+    token: Token = NONE
+    left: int = 0  # of the promise
+    highest: Token = NONE
+    over: Token = NONE
+    silent: int = 0  # ticks of silence left after a start
+    patience: int = 0  # until it votes without a quorum that remembers
+    told: int = -1  # voters that told what they remember; -1 for one that never forgot
+    asks: tuple[Ask, ...] = ()
+    replies: tuple[Reply, ...] = ()
+    granted: tuple[int, ...] = ()  # by candidate: what is left of what it granted, -1 for nothing
 
 
-Message = Asking | Answered | Given
+class TenureState(NamedTuple):
+    token: Token = NONE
+    given: bool = False
+    known: Token = NONE
+    begins: int = 0
 
 
-@dataclass(slots=True)
-class World:
-    """One state. Clocks are each process's own; budgets are what may still happen."""
-
-    scope: Scope
-    clocks: list[int]  # voters, then candidates
-    voters: list[Voter]
-    versions: list[int]
-    tenures: list[Tenure]
-    begins: list[int]
-    lives: list[int]
-    network: dict[Message, None]
+class State(NamedTuple):
+    turn: int
     ticks: int
     renewals: int
     gives: int
     restarts: int
     doubled: int
     drifts: int
-    held: Token = NONE  # the highest that has held
-
-    def copy(self) -> World:
-        return replace(
-            self,
-            clocks=list(self.clocks),
-            voters=[
-                replace(each, promises={duty: replace(one) for duty, one in each.promises.items()},
-                        told=dict(each.told))
-                for each in self.voters
-            ],
-            versions=list(self.versions),
-            tenures=[replace(each, granted=dict(each.granted), refused=dict(each.refused))
-                     for each in self.tenures],
-            begins=list(self.begins),
-            lives=list(self.lives),
-            network=dict(self.network),
-        )  # fmt: skip
+    held: Token
+    voters: tuple[VoterState, ...]
+    tenures: tuple[TenureState, ...]
 
-    # ---- what makes two states the same
 
-    def key(self) -> Any:
-        """Times by how far off they are, voters in an order of their own: states that differ in the names of
-        voters alone are one."""
-        scope = self.scope
-        count = len(self.voters)
-        signs = [self._sign(number) for number in range(count)]
-        order = (
-            range(count) if scope.versions else sorted(range(count), key=lambda number: repr(signs[number]))
-        )
-        tenures = []
-        for number, tenure in enumerate(self.tenures):
-            now = self.clocks[count + number]
-            live = tuple(max(0, tenure.granted.get(str(voter), -99) + scope.lease - now) for voter in order)
-            extra = tuple(
-                sorted(
-                    max(0, at + scope.lease - now)
-                    for name, at in tenure.granted.items()
-                    if not name.isdigit()
-                )
-            )
-            tenures.append((tenure.token, tenure.given, tenure.known, live, extra, self.begins[number],
-                            self.lives[number]))  # fmt: skip
-        return (
-            tuple(signs[number] for number in order),
-            tuple(tenures),
-            self.ticks,
-            self.renewals,
-            self.gives,
-            self.restarts,
-            self.doubled,
-            self.drifts,
-            self.held,
-        )
+Step = tuple[Any, State]  # how to say it, and the state after
 
-    def _sign(self, number: int) -> Any:
-        voter, now = self.voters[number], self.clocks[number]
-        count = len(self.voters)
-        promise = voter.promise(DUTY)
-        silent = max(0, voter.born + int(1.25 * voter.longest) + 1 - now)
-        messages: list[Any] = []
-        for message in self.network:
-            if message.voter != number:
-                continue
-            if isinstance(message, Given):
-                messages.append(("g", message.token))
-                continue
-            left = max(0, message.asked_at + self.scope.lease - self.clocks[count + message.candidate])
-            if isinstance(message, Asking):
-                messages.append(("q", message.candidate, message.token, left, message.version))
-            else:
-                answer = message.answer
-                messages.append(("a", message.candidate, answer.token, answer.why, answer.highest, left,
-                                 message.version))  # fmt: skip
-        return (
-            (promise.token, max(0, promise.until - now)) if promise.stands(now) else (NONE, 0),
-            promise.highest,
-            promise.over,
-            silent,
-            tuple(sorted(voter.told.items())) if silent else voter.remembers(),
-            self.versions[number],
-            tuple(sorted(messages, key=repr)),
-        )
 
-    # ---- what must hold
+class Machine:
+    """The events of one scope."""
 
-    def holders(self) -> list[int]:
-        count = len(self.voters)
-        return [n for n, each in enumerate(self.tenures) if each.holds(self.clocks[count + n])]
+    def __init__(self, scope: Scope) -> None:
+        self.scope = scope
+        self.terms = Terms(scope.lease, scope.drift, margin=0)
+        self.electorate = Electorate(1, tuple(str(n) for n in range(scope.voters)))
+        self.quorum = self.electorate.quorum
+        self.count = len(scope.unix)
+        self.all_told = (1 << scope.voters) - 1
+        # Turns: candidates' steps, voters, candidates' answers, then the tick.
+        self.last = 2 * self.count + scope.voters
 
-    def broken(self) -> str:
-        holders = self.holders()
+    def first(self) -> State:
+        scope, none = self.scope, (-1,) * self.count
+        return State(
+            0, scope.ticks, scope.renewals, scope.gives, scope.restarts, scope.doubled, scope.drifts, NONE,
+            (VoterState(granted=none),) * scope.voters,
+            (TenureState(begins=scope.begins),) * self.count,
+        )  # fmt: skip
+
+    # ---- objects of the program, and back
+
+    def tenure(self, state: State, number: int) -> Tenure:
+        kept = state.tenures[number]
+        tenure = Tenure(self.terms, NAMES[number], number + 1, self.quorum, kept.token)
+        tenure.given, tenure.known = kept.given, kept.known
+        for place, voter in enumerate(state.voters):
+            if voter.granted[number] >= 0:
+                tenure.granted[str(place)] = NOW + voter.granted[number] - self.terms.lease
+        return tenure
+
+    def keep(self, state: State, number: int, tenure: Tenure, begun: int = 0) -> State:
+        lease, voters = self.terms.lease, []
+        for place, voter in enumerate(state.voters):
+            at = tenure.granted.get(str(place))
+            left = -1 if at is None or at + lease <= NOW else at + lease - NOW
+            if left != voter.granted[number]:
+                granted = (*voter.granted[:number], left, *voter.granted[number + 1 :])
+                voter = voter._replace(granted=granted)
+            voters.append(voter)
+        kept = TenureState(tenure.token, tenure.given, tenure.known, state.tenures[number].begins - begun)
+        tenures = (*state.tenures[:number], kept, *state.tenures[number + 1 :])
+        return state._replace(voters=tuple(voters), tenures=tenures)
+
+    def voter(self, kept: VoterState, name: str) -> Voter:
+        terms = {DUTY: self.terms}
+        if kept.told < 0:
+            voter = Voter(name, terms, self.quorum, -NOW)
+            voter.told = {f"{n} then": True for n in range(self.quorum)}
+        else:
+            # Born so long ago that as much of its silence, or of its patience, is left.
+            longest = Voter(name, terms, self.quorum, 0).longest
+            patience = int(PATIENCE * longest)
+            born = NOW - longest + kept.silent if kept.silent else NOW - patience + kept.patience
+            voter = Voter(name, terms, self.quorum, born)
+            voter.told = {str(n): True for n in range(self.scope.voters) if kept.told >> n & 1}
+        voter.promises[DUTY] = Promise(self.terms, kept.token, NOW + kept.left, kept.highest, kept.over)
+        return voter
+
+    # ---- what must hold
+
+    def broken(self, state: State) -> str:
+        holders = [
+            number
+            for number, kept in enumerate(state.tenures)
+            if kept.token != NONE and not kept.given and self.tenure(state, number).holds(NOW)
+        ]
         if len(holders) > 1:
             return "two hold it: " + " and ".join(
-                f"{self.tenures[n].token.name} under {self.tenures[n].token.number}" for n in holders
+                f"{NAMES[n]} under {state.tenures[n].token.number}" for n in holders
             )
-        for number in holders:
-            token = self.tenures[number].token
-            if token < self.held and self.scope.tokens:
-                return f"{token.name} holds under {token.number}, {self.held.number} held before"
-            self.held = max(self.held, token)
+        if self.scope.tokens and holders and state.tenures[holders[0]].token < state.held:
+            number = state.tenures[holders[0]].token.number
+            return f"{NAMES[holders[0]]} holds under {number}, {state.held.number} held before"
         return ""
 
+    def noted(self, state: State) -> State:
+        """With the highest token that has held so far."""
+        highest = state.held
+        for number, kept in enumerate(state.tenures):
+            if kept.token > highest and not kept.given and self.tenure(state, number).holds(NOW):
+                highest = kept.token
+        return state if highest == state.held else state._replace(held=highest)
+
     # ---- events
 
-    def electorate(self, version: int) -> Electorate:
-        sets = self.scope.versions
-        if not sets:
-            return Electorate(1, tuple(str(n) for n in range(len(self.voters))))
-        return Electorate(version, sets[version - 1], sets[version - 2] if version > 1 else ())
-
-    def _voter_names(self) -> list[str]:
-        return ["a", "b", "c", "d"] if self.scope.versions else [str(n) for n in range(len(self.voters))]
-
-    def _settled(self, number: int) -> bool:
-        """By what a voter can hear of the others' versions, which is at best how it is."""
-        names = self._voter_names()
-        standing = Standing(self.electorate(self.versions[number]))
-        for other, version in enumerate(self.versions):
-            standing.hears(names[other], version)
-        return standing.settled(names[number])
-
-    def next(self) -> Iterator[tuple[str, World]]:
-        """Each event that may come now, in words, and the state after it."""
-        yield from self._time()
-        for message in self.network:
-            yield from self._arrival(message)
-        for number in range(len(self.tenures)):
-            yield from self._steps(number)
-        yield from self._restarts()
-
-    def _time(self) -> Iterator[tuple[str, World]]:
-        if not self.ticks:
+    def next(self, state: State) -> Iterator[Step]:
+        turn, count = state.turn, self.count
+        if turn == self.last:
+            yield from self.tick(state)
             return
-        names = [*(f"voter {n}" for n in range(len(self.voters))), *(t.name for t in self.tenures)]
-        for who in (-1, *(range(len(self.clocks)) if self.drifts else ())):
-            for by in (0, 2) if who >= 0 else (1,):
-                world = self.copy()
-                world.ticks -= 1
-                world.clocks = [clock + (by if n == who else 1) for n, clock in enumerate(self.clocks)]
-                world.drifts -= who >= 0
-                told = (
-                    f", {names[who]}'s clock {'stands still' if not by else 'goes two'}" if who >= 0 else ""
-                )
-                yield f"a tick{told}", world
-
-    def _arrival(self, message: Message) -> Iterator[tuple[str, World]]:
-        for keeps in (False, True) if self.doubled else (False,):
-            world = self.copy()
-            if keeps:
-                world.doubled -= 1
-            else:
-                del world.network[message]
-            told = world.take(message)
-            yield told + (" (and will once more)" if keeps else ""), world
-
-    def take(self, message: Message) -> str:
-        count = len(self.voters)
-        if isinstance(message, Answered):
-            tenure = self.tenures[message.candidate]
-            standing = Standing(self.electorate(message.version or 1))
-            if not self.scope.versions or standing.counts(
-                self._voter_names()[message.voter], message.version
+        if turn < count:
+            yield from self.steps(state, turn)
+        elif turn < count + self.scope.voters:
+            yield from self.at_voter(state, turn - count)
+        else:
+            yield from self.answers(state, turn - count - self.scope.voters)
+        yield None, self.turned(state)
+
+    def turned(self, state: State) -> State:
+        """On to the next process that could do something, or to the tick."""
+        turn, count, voters = state.turn + 1, self.count, self.scope.voters
+        while turn < self.last:
+            if turn < count:
+                kept = state.tenures[turn]
+                if kept.begins or ((state.renewals or state.gives) and kept.token != NONE and not kept.given):
+                    break
+            elif turn < count + voters:
+                voter = state.voters[turn - count]
+                if voter.asks or state.restarts or 0 <= voter.told < self.all_told:
+                    break
+            elif any(
+                each.candidate == turn - count - voters for voter in state.voters for each in voter.replies
             ):
-                now = self.clocks[count + message.candidate]
-                ANSWERED(tenure, str(message.voter), message.answer, message.asked_at, now)
-            return f"{tenure.name} hears of voter {message.voter}: {message.answer.why or 'granted'}"
-        voter, now = self.voters[message.voter], self.clocks[message.voter]
-        if isinstance(message, Given):
-            voter.given_back(DUTY, message.token, "", 0, now)
-            return f"voter {message.voter} hears that {message.token.number} was given back"
-        name = self.tenures[message.candidate].name
-        told = f"voter {message.voter} is asked by {name} under {message.token.number}"
-        if self.scope.versions and (
-            message.version != self.versions[message.voter] or not self._settled(message.voter)
-        ):
-            return told + ": of another set"
-        answer = voter.asked(DUTY, message.token, now)
-        if answer is None:
-            return told + ": silent"
-        self.network[
-            Answered(
-                message.voter, message.candidate, replace(answer, left=0), message.asked_at, message.version
+                break
+            turn += 1
+        return state._replace(turn=turn)
+
+    def steps(self, state: State, number: int) -> Iterator[Step]:
+        """Of a candidate: asks, asks again, gives back."""
+        kept, tenure = state.tenures[number], self.tenure(state, number)
+        holds = tenure.holds(NOW)
+        if kept.begins and not holds:
+            after = state
+            if kept.token != NONE and not kept.given:
+                after = self.sent(after, Ask(number, tenure.give_back(), self.terms.hold, True))
+            tenure.begin(self.scope.unix[number], NOW)
+            after = self.keep(after, number, tenure, begun=1)
+            after = self.sent(after, Ask(number, tenure.token, self.terms.lease))
+            yield ("asks", number, tenure.token), after
+        if holds and state.renewals:
+            after = state._replace(renewals=state.renewals - 1)
+            yield (
+                ("asks again", number, tenure.token),
+                self.sent(after, Ask(number, tenure.token, self.terms.lease)),
             )
-        ] = None
-        return told + f": {answer.why or 'grants'}"
-
-    def _steps(self, number: int) -> Iterator[tuple[str, World]]:
-        """Of a candidate: asks, renews, gives back."""
-        count, scope = len(self.voters), self.scope
-        tenure, now = self.tenures[number], self.clocks[count + number]
-        idle = tenure.token == NONE or tenure.given or (not tenure.holds(now) and tenure.granted)
-        if self.begins[number] and idle:
-            world = self.copy()
-            mine = world.tenures[number]
-            if mine.token != NONE and not mine.given:
-                world.tell_given(mine.give_back())
-            world.begins[number] -= 1
-            mine.begin(scope.unix[number], now)
-            world.ask(number, now)
-            yield f"{tenure.name} asks under {mine.token.number}", world
-        if tenure.holds(now):
-            if self.renewals:
-                world = self.copy()
-                world.renewals -= 1
-                world.ask(number, now)
-                yield f"{tenure.name} asks again under {tenure.token.number}", world
-            if self.gives:
-                world = self.copy()
-                world.gives -= 1
-                world.tell_given(world.tenures[number].give_back())
-                yield f"{tenure.name} gives back {tenure.token.number}", world
-
-    def ask(self, number: int, now: int) -> None:
-        tenure, scope = self.tenures[number], self.scope
-        version = (1, len(scope.versions))[number] if scope.versions else 0
-        for voter, name in enumerate(self._voter_names()):
-            if name in self.electorate(version or 1).voters:
-                self.network[Asking(voter, number, tenure.token, now, version)] = None
-
-    def tell_given(self, token: Token) -> None:
-        for voter in range(len(self.voters)):
-            self.network[Given(voter, token)] = None
-
-    def _restarts(self) -> Iterator[tuple[str, World]]:
-        scope = self.scope
-        if scope.versions:
-            for number, version in enumerate(self.versions):
-                if version < len(scope.versions):
-                    world = self.copy()
-                    world.versions[number] += 1
-                    # What it promised under the version before is over, for it kept silent since.
-                    world.voters[number] = new_voter(world, number, -1_000)
-                    yield f"voter {self._voter_names()[number]} goes on to version {version + 1}", world
+        if holds and state.gives:
+            token = tenure.give_back()
+            after = self.keep(state._replace(gives=state.gives - 1), number, tenure)
+            yield ("gives back", number, token), self.sent(after, Ask(number, token, self.terms.hold, True))
+
+    def sent(self, state: State, ask: Ask) -> State:
+        voters = tuple(
+            voter if ask in voter.asks else voter._replace(asks=tuple(sorted((*voter.asks, ask))))
+            for voter in state.voters
+        )
+        return state._replace(voters=voters)
+
+    def at_voter(self, state: State, place: int) -> Iterator[Step]:
+        kept = state.voters[place]
+        for ask in kept.asks:
+            rest = tuple(each for each in kept.asks if each != ask)
+            voter = self.voter(kept, str(place))
+            if ask.gives:
+                voter.given_back(DUTY, ask.token, "", 0, NOW)
+                answer, told = None, "hears that it was given back"
+            else:
+                answer = voter.asked(DUTY, ask.token, NOW)
+                told = "is silent" if answer is None else answer.why or "grants"
+            replies, reply = kept.replies, None
+            if answer is not None:
+                reply = Reply(ask.candidate, answer.token, answer.why, answer.highest, ask.left)
+                if self.scope.late and reply not in replies:
+                    replies = tuple(sorted((*replies, reply)))
+            promise = voter.promise(DUTY)
+            left = max(0, promise.until - NOW) if promise.stands(NOW) else 0
+            new = kept._replace(
+                token=promise.token if left else NONE, left=left, highest=promise.highest,
+                over=promise.over, asks=rest, replies=replies,
+            )  # fmt: skip
+            what = ("is asked", place, ask.candidate, ask.token, told)
+            yield what, self.put(state, place, new)
+            if reply is not None and not self.scope.late:
+                heard = self.hears(self.put(state, place, new._replace(replies=())), place, reply)
+                yield (*what, "and told"), heard
+                if state.doubled:
+                    spent = heard._replace(doubled=heard.doubled - 1)
+                    yield (*what, "and told twice"), self.hears(spent, place, reply)
+            if state.doubled:
+                spent = state._replace(doubled=state.doubled - 1)
+                yield (*what, "and once more"), self.put(spent, place, new._replace(asks=kept.asks))
+        if state.restarts:
+            longest = Voter("", {DUTY: self.terms}, self.quorum, 0).longest
+            new = VoterState(
+                silent=longest, patience=int(PATIENCE * longest), told=0, asks=kept.asks,
+                replies=kept.replies, granted=kept.granted,
+            )  # fmt: skip
+            yield ("restarts", place), self.put(state._replace(restarts=state.restarts - 1), place, new)
+        if kept.told >= 0 and bin(kept.told).count("1") < self.quorum:
+            for other, source in enumerate(state.voters):
+                remembers = source.told < 0 or bin(source.told).count("1") >= self.quorum
+                if other != place and remembers and not kept.told >> other & 1:
+                    voter = self.voter(kept, str(place))
+                    voter.hears(str(other), True, {DUTY: source.highest})
+                    new = kept._replace(told=kept.told | 1 << other, highest=voter.promise(DUTY).highest)
+                    yield ("hears what is known to", place, other), self.put(state, place, new)
+
+    @staticmethod
+    def put(state: State, place: int, voter: VoterState) -> State:
+        return state._replace(voters=(*state.voters[:place], voter, *state.voters[place + 1 :]))
+
+    def answers(self, state: State, number: int) -> Iterator[Step]:
+        for place, kept in enumerate(state.voters):
+            for reply in kept.replies:
+                if reply.candidate != number:
+                    continue
+                rest = tuple(each for each in kept.replies if each != reply)
+                what = ("hears of", number, place, reply.token, reply.why or "granted")
+                yield what, self.hears(self.put(state, place, kept._replace(replies=rest)), place, reply)
+
+    def hears(self, state: State, place: int, reply: Reply) -> State:
+        """A candidate, of a voter's answer."""
+        tenure = self.tenure(state, reply.candidate)
+        answer = Answer(reply.token, reply.why, reply.highest)
+        ANSWERED(tenure, str(place), answer, NOW + reply.left - self.terms.lease)
+        return self.keep(state, reply.candidate, tenure)
+
+    def tick(self, state: State) -> Iterator[Step]:
+        if not state.ticks:
             return
-        if self.restarts:
-            for number in range(len(self.voters)):
-                world = self.copy()
-                world.restarts -= 1
-                world.voters[number] = new_voter(world, number, self.clocks[number])
-                yield f"voter {number} restarts", world
-        for number, voter in enumerate(self.voters):
-            if voter.born < 0 or voter.remembers():
-                continue
-            for other, source in enumerate(self.voters):
-                if other != number and str(other) not in voter.told:
-                    world = self.copy()
-                    remembers = source.born < 0 or source.remembers()
-                    world.voters[number].hears(str(other), remembers, source.knows())
-                    yield f"voter {number} hears what voter {other} knows", world
-
-
-def new_voter(world: World, number: int, born: int) -> Voter:
-    scope = world.scope
-    terms = Terms(scope.lease, scope.drift, margin=0)
-    voter = Voter(str(number), {DUTY: terms}, world.electorate(1).quorum, born)
-    if born < 0:  # long ago: it remembers all that there is
-        voter.told = {f"_{n}": True for n in range(len(world.voters) or scope.voters)}
-    return voter
-
-
-def first(scope: Scope) -> World:
-    count = 4 if scope.versions else scope.voters
-    terms = Terms(scope.lease, scope.drift, margin=0)
-    world = World(
-        scope, [0] * (count + len(scope.unix)), [], [1] * count, [], [scope.begins] * len(scope.unix),
-        [0] * len(scope.unix), {}, scope.ticks, scope.renewals, scope.gives, scope.restarts, scope.doubled,
-        scope.drifts,
-    )  # fmt: skip
-    world.voters = [Voter(str(n), {}, 0, 0) for n in range(count)]
-    world.voters = [new_voter(world, number, -1_000) for number in range(count)]
-    quorums = (
-        [world.electorate(version).quorum for version in (1, len(scope.versions))]
-        if scope.versions
-        else [world.electorate(1).quorum] * len(scope.unix)
-    )
-    world.tenures = [
-        Tenure(terms, name, number + 1, quorums[number])
-        for number, name in enumerate("xyz"[: len(scope.unix)])
-    ]
-    return world
+        state = state._replace(ticks=state.ticks - 1, turn=0)
+        yield ("tick",), self.passed(state, -1, 1)
+        if state.drifts:
+            drifted = state._replace(drifts=state.drifts - 1)
+            for who in range(self.scope.voters + self.count):
+                for by in (0, 2):
+                    yield ("tick", who, by), self.passed(drifted, who, by)
+
+    def passed(self, state: State, odd: int, by: int) -> State:
+        """A tick, of which the clock of process `odd` makes `by`."""
+        count, voters = self.scope.voters, []
+        steps = [by if odd == count + number else 1 for number in range(self.count)]
+        for place, kept in enumerate(state.voters):
+            mine = by if odd == place else 1
+            left = max(0, kept.left - mine)
+            voters.append(
+                kept._replace(
+                    token=kept.token if left else NONE,
+                    left=left,
+                    silent=max(0, kept.silent - mine),
+                    patience=max(0, kept.patience - mine),
+                    asks=tuple(sorted(self.aged(kept.asks, steps, 0))),
+                    replies=tuple(sorted(self.aged(kept.replies, steps, -self.scope.late))),
+                    granted=tuple(
+                        each - steps[number] if each > steps[number] else -1
+                        for number, each in enumerate(kept.granted)
+                    ),
+                )
+            )  # fmt: skip
+        return state._replace(voters=tuple(voters))
+
+    @staticmethod
+    def aged(messages: tuple[Any, ...], steps: list[int], least: int) -> set[Any]:
+        """Those that may still come. One whose asker's lease is over is dropped: what it may still do is to
+        make a voter promise what nobody counts, which only keeps others from having it."""
+        older = {each._replace(left=each.left - steps[each.candidate]) for each in messages}
+        return {each for each in older if each.left > least}
+
+    def same(self, state: State) -> State:
+        """One of those that differ in the order of voters alone: those whose turn is over, and those whose
+        is still to come, each among themselves."""
+        at = min(max(0, state.turn - self.count), self.scope.voters)
+        if any(voter.told > 0 for voter in state.voters):
+            return state  # who told whom goes by places
+        voters = state.voters
+        if state.turn < self.count or at == self.scope.voters:
+            ordered = tuple(sorted(voters))
+        else:
+            ordered = (*sorted(voters[:at]), voters[at], *sorted(voters[at + 1 :]))
+        return state if ordered == voters else state._replace(voters=ordered)
+
+    def said(self, what: Any) -> str:
+        if what[0] == "tick":
+            return "a tick passes" + (f" ({self.clock(what[1])} goes {what[2]})" if len(what) > 1 else "")
+        if what[0] in ("asks", "asks again", "gives back"):
+            return f"{NAMES[what[1]]} {what[0]} under {what[2].number}"
+        if what[0] == "is asked":
+            more = f", {what[5]}" if len(what) > 5 else ""
+            return f"a voter hears {NAMES[what[2]]}'s asking under {what[3].number}: {what[4]}{more}"
+        if what[0] == "hears of":
+            return f"{NAMES[what[1]]} hears of a voter under {what[3].number}: {what[4]}"
+        return f"a voter {what[0]}" + (" another" if len(what) > 2 else "")
+
+    def clock(self, who: int) -> str:
+        count = self.scope.voters
+        return "a voter's clock" if who < count else f"{NAMES[who - count]}'s clock"
 
 
 # ---- the search
@@ -405,70 +425,133 @@
 class Found:
     scope: str
     states: int = 0
-    depth: int = 0
+    depth: int = 0  # of the event furthest from the start, passed turns not counted
     exhausted: bool = True
     seconds: float = 0.0
     broken: str = ""
     way: list[str] = field(default_factory=list)
 
 
-def search(scope: Scope, seconds: float = 1e9, most: int = 5_000_000) -> Found:
-    """Breadth first, so that the first break has the fewest events."""
+def search(scope: Scope, seconds: float = 1e9, most: int = 20_000_000) -> Found:
+    """By the number of events, so that the first break has the fewest."""
+    machine = Machine(scope)
     found, begun = Found(scope.name), time.monotonic()
-    start = first(scope)
-    parents: dict[int, tuple[int, str]] = {hash(start.key()): (0, "")}
-    queue: deque[tuple[World, int, int]] = deque([(start, hash(start.key()), 0)])
-    while queue:
-        world, here, depth = queue.popleft()
-        found.depth = max(found.depth, depth)
-        for told, after in world.next():
-            broken = after.broken()
-            key = hash(after.key())
+    start = machine.first()
+    parents: dict[int, tuple[int, Any]] = {hash(start): (0, None)}
+    level, following = deque([(start, hash(start))]), deque[tuple[State, int]]()
+    while level:
+        state, here = level.popleft()
+        for what, after in machine.next(state):
+            broken = ""
+            if what is not None:
+                broken = machine.broken(after)
+                after = machine.noted(after)
+            after = machine.same(after)
+            key = hash(after)
             if key not in parents:
-                parents[key] = here, told
-                queue.append((after, key, depth + 1))
+                parents[key] = here, what
+                # A turn that is passed on is no event: it belongs to the same level.
+                (following if what is not None else level).append((after, key))
             if broken:
-                found.broken, found.way = broken, [*way_to(parents, here), told]
-                found.states, found.exhausted = len(parents), False
-                found.seconds = time.monotonic() - begun
-                return found
+                found.broken, found.exhausted = broken, False
+                found.way = [machine.said(each) for each in (*_way(parents, here), what)]
+                level.clear()
+                following.clear()
+                break
         if len(parents) >= most or time.monotonic() - begun > seconds:
             found.exhausted = False
             break
-    found.states, found.seconds = len(parents), time.monotonic() - begun
+        if not level:
+            level, following = following, deque()
+            found.depth += bool(level)
+    found.states, found.seconds = len(parents), round(time.monotonic() - begun, 2)
     return found
 
 
-def way_to(parents: dict[int, tuple[int, str]], key: int) -> list[str]:
-    way: list[str] = []
-    while key and parents[key][1]:
-        key, told = parents[key]
-        way.append(told)
+def _way(parents: dict[int, tuple[int, Any]], key: int) -> list[Any]:
+    way: list[Any] = []
+    while key:
+        key, what = parents[key]
+        if what is not None:
+            way.append(what)
     return way[::-1]
 
 
-# ---- mistakes put in, one at a time
+def sets_hold(versions: int = 4, names: str = "abcde") -> tuple[int, str]:
+    """All ways in which the files of all voters may go on, from set to set by one name at a time: whether
+    two sets that may both be voting have quorums without a shared voter. Gives the number of cases looked
+    at, and the first break in words."""
+    cases = 0
+    for sets in _chains(names, versions):
+        electorates = [
+            Electorate(number + 1, each, sets[number - 1] if number else ())
+            for number, each in enumerate(sets)
+        ]
+        if any(each.faults() for each in electorates):
+            continue
+        everybody = sorted({name for each in sets for name in each})
+        for at in _assignments(len(everybody), versions):
+            cases += 1
+            version = dict(zip(everybody, at, strict=True))
+            able = [_able(each, version) for each in electorates]
+            for one, other in ((a, b) for a in range(versions) for b in range(a)):
+                if able[one] and able[other]:
+                    shown = ", ".join(f"{name} at {version[name]}" for name in everybody)
+                    told = f"sets {sets[other]} and {sets[one]} can both grant ({shown})"
+                    return cases, told
+    return cases, ""
+
+
+def _able(electorate: Electorate, version: dict[str, int]) -> bool:
+    """Whether a quorum of this set votes under it now."""
+    voting = 0
+    for name in electorate.voters:
+        if version[name] == electorate.version:
+            standing = Standing(electorate)
+            for other, each in version.items():
+                standing.hears(other, each)
+            voting += standing.settled(name)
+    return voting >= electorate.quorum
+
+
+def _chains(names: str, versions: int) -> Iterator[list[tuple[str, ...]]]:
+    def longer(chain: list[tuple[str, ...]]) -> Iterator[list[tuple[str, ...]]]:
+        if len(chain) == versions:
+            yield chain
+            return
+        for name in names:
+            last = set(chain[-1]) ^ {name}
+            if last:
+                yield from longer([*chain, tuple(sorted(last))])
 
+    yield from longer([tuple(names[:3])])
 
-def answered(tenure: Tenure, voter: str, answer: Answer, asked_at: int, now: int) -> None:
-    tenure.answered(voter, answer, asked_at)
 
+def _assignments(count: int, versions: int) -> Iterator[tuple[int, ...]]:
+    if not count:
+        yield ()
+        return
+    for rest in _assignments(count - 1, versions):
+        for version in range(1, versions + 1):
+            yield (*rest, version)
 
-ANSWERED: Callable[[Tenure, str, Answer, int, int], None] = answered
 
+# ---- mistakes put in, one at a time
 
-def _from_answer(tenure: Tenure, voter: str, answer: Answer, asked_at: int, now: int) -> None:
-    tenure.answered(voter, answer, now)
+
+def answered(tenure: Tenure, voter: str, answer: Answer, asked_at: int) -> None:
+    tenure.answered(voter, answer, asked_at)
 
 
-def _twice(self: Tenure, voter: str, answer: Answer, asked_at: int) -> None:
-    if answer.token == self.token and not self.given and not answer.why:
-        self.granted[voter if voter not in self.granted else f"{voter} again"] = asked_at
+ANSWERED: Callable[[Tenure, str, Answer, int], None] = answered
 
 
-def _any_token(self: Tenure, voter: str, answer: Answer, asked_at: int) -> None:
-    if not self.given and not answer.why:
-        self.granted[voter] = max(asked_at, self.granted.get(voter, asked_at))
+def _from_answer(tenure: Tenure, voter: str, answer: Answer, asked_at: int) -> None:
+    tenure.answered(voter, answer, NOW)
+
+
+def _any_token(tenure: Tenure, voter: str, answer: Answer, asked_at: int) -> None:
+    tenure.answered(voter, Answer(tenure.token, answer.why, answer.highest), asked_at)
 
 
 def _clock_alone(self: Tenure, unix: int, now: int) -> Token:
@@ -484,41 +567,48 @@
     return Answer(token, "", token)
 
 
+def _twice(self: Tenure) -> int:
+    """One voter's answer, and the same once more, make two."""
+    latest = sorted([*self.granted.values(), *self.granted.values()], reverse=True)
+    return 0 if self.given or len(latest) < self.quorum else latest[self.quorum - 1] + self.terms.lease
+
+
 def _reach(self: Tenure) -> int:
+    """A majority of those that answered."""
     latest = sorted(self.granted.values(), reverse=True)
-    most = len(self.granted) // 2 + 1  # of those that answered
+    most = len(self.granted) // 2 + 1
     return 0 if self.given or not latest else latest[min(most, len(latest)) - 1] + self.terms.lease
 
 
+SETS = "sets"  # not a scope: all ways that files may go on
 MISTAKES: dict[str, tuple[str, str, list[tuple[Any, str, Any]]]] = {
     "no-silence": ("restarted", "a voter that has started votes at once", [
         (Voter, "votes", lambda self, now: True)]),
-    "from-the-answer": ("plain", "a holder's time runs from the answer", []),
+    "from-the-answer": ("late", "a holder's time runs from the answer", []),
     "no-drift": ("plain", "a voter counts no longer than the holder", [
         (Terms, "hold", property(lambda self: self.lease))]),
     "clock-token": ("again", "a token is the Unix time and nothing else", [
         (Tenure, "begin", _clock_alone), (Promise, "asked", _any_order)]),
-    "counted-twice": ("renewed", "two answers of one voter count as two", [(Tenure, "answered", _twice)]),
-    "old-ballot": ("again", "an answer to an older asking counts", [(Tenure, "answered", _any_token)]),
+    "counted-twice": ("renewed", "two answers of one voter count as two", [(Tenure, "until", _twice)]),
+    "old-ballot": ("again", "an answer to an older asking counts", []),
     "those-in-reach": ("plain", "a majority of those who answered is enough", [(Tenure, "until", _reach)]),
-    "old-set": ("sets", "a voter of a new set does not wait for the old one to be gone", [
+    "old-set": (SETS, "a voter of a new set does not wait for the old one to be gone", [
         (Standing, "settled", lambda self, own: True)]),
 }  # fmt: skip
 
 
 @contextmanager
-def planted(name: str) -> Iterator[Scope]:
-    """The program with one mistake in it, and the scope that must find it."""
+def planted(name: str) -> Iterator[str]:
+    """The program with one mistake in it; gives the name of the scope that must find it."""
     global ANSWERED
     scope, _, patches = MISTAKES[name]
-    before = [(owner, field_name, owner.__dict__[field_name]) for owner, field_name, _ in patches]
+    before = [(owner, member, owner.__dict__[member]) for owner, member, _ in patches]
     try:
-        for owner, field_name, new in patches:
-            setattr(owner, field_name, new)
-        if name == "from-the-answer":
-            ANSWERED = _from_answer
-        yield next(each for each in FULL if each.name == scope)
+        for owner, member, new in patches:
+            setattr(owner, member, new)
+        ANSWERED = {"from-the-answer": _from_answer, "old-ballot": _any_token}.get(name, answered)
+        yield scope
     finally:
         ANSWERED = answered
-        for owner, field_name, old in before:
-            setattr(owner, field_name, old)
+        for owner, member, old in before:
+            setattr(owner, member, old)
