Let members seek, hold, renew and hand on duties; play them with resources on virtual time

Trials start their processes over a quarter of the warm-up: 96 at once made four trials at a time too late to judge.

--- a/limeridge/cli/trial.py
+++ b/limeridge/cli/trial.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Iterator
 from multiprocessing.pool import ThreadPool
 from pathlib import Path
@@ -23,6 +24,7 @@
 from limeridge.settings.load import Unusable
 from limeridge.trial import scenario
 
+LANES_APART = 8.0  # seconds
 TRIES = 3  # of a trial that the machine was too busy for
 AS_JSON = click.option("--json", "as_json", is_flag=True, help="JSON instead of text.")
 BUSY = 3
@@ -105,6 +107,7 @@
     run again, three times in all."""
     work = [drawn(name, number, nodes) for name in names for number in range(seed, seed + repeat)]
     lanes: Queue[int] = Queue()
+    begun: set[int] = set()
     for lane in range(jobs):
         lanes.put(lane)
 
@@ -112,6 +115,9 @@
         if world == "virtual":
             return virtual(plan)
         lane = lanes.get()
+        if lane not in begun:  # the first of each lane apart, so that not all start at one time
+            begun.add(lane)
+            time.sleep(LANES_APART * lane)
         try:
             for _ in range(TRIES):
                 verdict = real(plan, nodes, out, lane)
--- /dev/null
+++ b/limeridge/duty/words.py
@@ -0,0 +1,91 @@
+"""What is said about duties, between members: bodies of `peers.messages.Word`.
+
+It owns the types and their encoding. It must never judge.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from limeridge.duty.ballots import Token
+
+
+class Ask(Struct, frozen=True, array_like=True, tag="a"):
+    """May I have, or go on with, this duty under this token? `seq` comes back with the answer."""
+
+    duty: str
+    token: Token
+    seq: int
+    version: int  # of the set of voters
+
+
+class Answer(Struct, frozen=True, array_like=True, tag="y"):
+    duty: str
+    token: Token
+    seq: int
+    version: int
+    why: str
+    highest: Token
+    holder: str = ""
+    left: int = 0
+
+
+class Back(Struct, frozen=True, array_like=True, tag="b"):
+    """To voters: I hold it no more; for `keep` microseconds only the successor may have it."""
+
+    duty: str
+    token: Token
+    successor: str = ""
+    keep: int = 0
+
+
+class Take(Struct, frozen=True, array_like=True, tag="t"):
+    """To a successor: I gave it back for you."""
+
+    duty: str
+    token: Token
+
+
+class Held(Struct, frozen=True, array_like=True, tag="h"):
+    """To all: I hold it for so many microseconds more at least, unless you hear that I gave it up (`left`
+    0)."""
+
+    duty: str
+    token: Token
+    left: int
+    note: bytes = b""  # what the duty's own part has to say
+
+
+class Recall(Struct, frozen=True, array_like=True, tag="r"):
+    """From a voter that has started: what do you know?"""
+
+    version: int
+
+
+class Known(Struct, frozen=True, array_like=True, tag="k"):
+    """The highest token of each duty that a voter knows of, and whether it remembers all that it granted."""
+
+    version: int
+    remembers: bool
+    highest: dict[str, Token]
+
+
+Body = Ask | Answer | Back | Take | Held | Recall | Known
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Body)
+
+
+def encode(body: Body) -> bytes:
+    return _encoder.encode(body)
+
+
+def decode(data: bytes) -> Body | None:
+    """None for what is no such body."""
+    try:
+        body: Body = _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+    return body
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -346,6 +346,7 @@
         self.counts["heard"] += 1
         answer = None
         try:
+            self.peer.unix = int(self.unix() * 1e6)
             answer = self.peer.heard(message, self.clock())
         except Exception as trouble:  # a defect in what a member made of it: others' words still count
             self.log.fault("peers-fault", trouble)
@@ -409,6 +410,7 @@
 
     def _wake(self) -> None:
         try:
+            self.peer.unix = int(self.unix() * 1e6)
             self.peer.wake(self.clock())
         except Exception as trouble:
             self.log.fault("peers-fault", trouble)
--- a/limeridge/peers/messages.py
+++ b/limeridge/peers/messages.py
@@ -110,7 +110,15 @@
     answer: bool
 
 
-Message = Ping | Ack | Nack | Ask | Renew | Support | Offer | Table
+class Word(Struct, frozen=True, array_like=True, tag="w"):
+    """What is said by another part that members carry, `kind`, in its own form."""
+
+    own: Claim
+    kind: str
+    body: bytes
+
+
+Message = Word | Ping | Ack | Nack | Ask | Renew | Support | Offer | Table
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Message)
 
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from itertools import islice
+from typing import Protocol
 
 from msgspec.structs import replace
 
@@ -29,6 +30,7 @@
     Renew,
     Support,
     Table,
+    Word,
 )
 from limeridge.peers.reach import Grade, Reach, Stand
 from limeridge.peers.seeds import Seeker
@@ -47,6 +49,21 @@
 PULL_EVERY = 250 * MS  # between two pulls of whole tables from the same member
 
 Address = tuple[str, int]
+WORD_MOST = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - 200  # bytes of a guest's body
+
+
+class Guest(Protocol):
+    """Another part that is carried by members: it hears who is there, and its words go along with theirs.
+    `unix` is Unix time, all other times are ours, microseconds."""
+
+    kind: str
+    out: list[tuple[str, bytes]]  # to a member's name, or to all where it is empty
+    events: list[Event]
+
+    def next_at(self, now: int) -> int: ...
+    def wake(self, present: tuple[str, ...], unix: int, now: int) -> None: ...
+    def heard(self, sender: Claim, body: bytes, unix: int, now: int) -> None: ...
+    def leave(self, now: int) -> None: ...
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,8 +135,11 @@
         self.offers = Offers(terms, own.name, own.life.nonce) if terms is not None else None
         self.out: list[Send] = []
         self.events: list[Event] = []
+        self.guests: dict[str, Guest] = {}
+        self.unix = 0  # as whoever drives it last told, for the guests
         self.seeker = seeker
         self.asks_list = False  # until whoever drives it has done so
+        self.guests_at: dict[str, int] = {}  # when each is to be woken
         self.grades: dict[str, Grade] = {}
         self.accusals: dict[Accusal, int] = {}  # how often each was told
         self.relays: dict[int, Relay] = {}
@@ -147,7 +167,7 @@
             times.append(self.next_renew)
         if self.seeker is not None:
             times.append(self.seeker.next_at)
-        return min([self.detector.next_at, self.next_sync, self.next_reach, *times])
+        return min([self.detector.next_at, self.next_sync, self.next_reach, *times, *self.guests_at.values()])
 
     def wake(self, now: int) -> None:
         """To be called at `next_at` or soon after."""
@@ -176,6 +196,10 @@
             self.grades.pop(claim.name, None)
             self.pulled.pop(claim.name, None)
             self.alike.discard(claim.name)
+        for kind, at in self.guests_at.items():
+            if now >= at:
+                self.guests[kind].wake(self._names(), self.unix, now)
+                self._carry(self.guests[kind], now)
         if now >= self.next_look or self.leaving:
             self.next_look = now + self.habits.pace.interval // LOOKS
             self._look(now)
@@ -184,6 +208,10 @@
         """Told before a drain: to as many as a claim is told, at once, so that no round need pass."""
         if self.leaving:
             return
+        for guest in self.guests.values():
+            guest.leave(now)
+            self._carry(guest, now)
+        self.guests_at.clear()
         self.leaving = True
         self._changed(self.members.restate(replace(self.own, state=State.LEFT), now), now)
         others = sorted(self.members.others(State.ALIVE, State.SUSPECT), key=lambda claim: claim.name)
@@ -191,6 +219,36 @@
         for claim in self.chance.sample(others, min(len(others), most)):
             self._say(claim, Ping(0, self.own, claim.name, self.members.digest))
 
+    # ---- guests
+
+    def invite(self, guest: Guest, now: int) -> None:
+        self.guests[guest.kind] = guest
+        self.guests_at[guest.kind] = now
+
+    def _names(self) -> tuple[str, ...]:
+        return tuple(sorted(claim.name for claim in self.members.present()))
+
+    def _carry(self, guest: Guest, now: int) -> None:
+        """Its words to whom they are for, its events to the log."""
+        out, guest.out = guest.out, []
+        for name, body in out:
+            if len(body) > WORD_MOST:
+                continue
+            word = Word(self.own, guest.kind, body)
+            for claim in self.members.others(State.ALIVE, State.SUSPECT):
+                if not name or claim.name == name:
+                    self._say(claim, word)
+        self.events += guest.events[: max(0, EVENTS_MOST - len(self.events))]
+        guest.events = []
+        if guest.kind in self.guests_at:
+            self.guests_at[guest.kind] = guest.next_at(now)
+
+    def _word(self, word: Word, now: int) -> None:
+        guest = self.guests.get(word.kind)
+        if guest is not None and not self.leaving:
+            guest.heard(word.own, word.body, self.unix, now)
+            self._carry(guest, now)
+
     # ---- probes
 
     def _act(self, act: probing.Act, now: int) -> None:
@@ -306,6 +364,8 @@
             self._supported(message, now)
         elif isinstance(message, Offer):
             self._offered(View(message.epoch, frozenset(message.keys)))
+        elif isinstance(message, Word):
+            self._word(message, now)
         elif isinstance(message, Table):
             return self._table(message, now)
         return None
--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -137,6 +137,9 @@
         """Never steps, drifts, and goes on while the process stands still."""
         return int(self.fleet.now * (1 + self.drift))
 
+    def unix(self) -> int:
+        return UNIX + self.fleet.now + self.fleet.steps[self.number]
+
     def do(self, act: Callable[[], None]) -> None:
         if not self.alive:
             return
@@ -154,6 +157,7 @@
 
     def wake(self) -> None:
         def look() -> None:
+            self.peer.unix = self.unix()
             self.peer.wake(self.clock())
             self.arm()
 
@@ -169,6 +173,7 @@
                 message = decode(data, self.fleet.key)
             except Foreign:
                 return
+            self.peer.unix = self.unix()
             answer = self.peer.heard(message, self.clock())
             if answer is not None and back is not None:
                 back(answer)
--- a/limeridge/trial/rig.py
+++ b/limeridge/trial/rig.py
@@ -448,8 +448,9 @@
         trial, later = self.trial, self.reactor.callLater
         self.zero = time.time() + trial.warm / 1e6
         self.found()
+        # Spread over a quarter of the warm-up: all at once would keep the machine from anything else.
         for number in range(trial.instances):
-            self.start(number)
+            later(number * min(3.0, trial.warm / 4e6) / trial.instances, self.start, number)
         for call, every in ((self.look, LOOK), (self.lateness, LATE)):
             LoopingCall(call).start(every, now=False)
         warm, length = trial.warm / 1e6, (trial.over + trial.rest) / 1e6
