--- a/limeridge/duty/check.py
+++ b/limeridge/duty/check.py
@@ -54,6 +54,7 @@
     drifts: int = 0  # times that a clock goes a tick more or less
     late: int = 0  # ticks past its asker's lease that an answer may come
     tokens: bool = True  # whether tokens must grow
+    recalls: bool = False  # a voter that has started votes once it remembers, and not before
     lease: int = 2
     drift: float = 0.25
 
@@ -61,9 +62,11 @@
 QUICK = (
     Scope("plain", "askings late, lost or out of order, a clock that drifts", drifts=1, ticks=4),
     Scope("late", "answers late too, up to after the lease that they grant", late=2, ticks=3, lease=1),
-    Scope("again", "two askings of each, given back or lapsed", begins=2, gives=1, ticks=3, lease=1),
+    Scope("again", "two askings of each, given back or lapsed", begins=2, gives=1, ticks=2, lease=1),
     Scope("renewed", "a renewal, a message doubled", renewals=1, doubled=1, ticks=3),
-    Scope("restarted", "a voter restarts and has forgotten", restarts=1, ticks=4, lease=1),
+    Scope("restarted", "a voter restarts and has forgotten", restarts=1, ticks=4, lease=1, tokens=False),
+    Scope("recalled", "the same, and it hears what others know first", restarts=1, ticks=4, lease=1,
+          recalls=True),
 )
 FULL = (
     *QUICK,
@@ -280,7 +283,8 @@
 
     def at_voter(self, state: State, place: int) -> Iterator[Step]:
         kept = state.voters[place]
-        for ask in kept.asks:
+        waits = self.scope.recalls and kept.told >= 0 and bin(kept.told).count("1") < self.quorum
+        for ask in () if waits else kept.asks:
             rest = tuple(each for each in kept.asks if each != ask)
             voter = self.voter(kept, str(place))
             if ask.gives:
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -260,15 +260,15 @@
         if told is None:
             return None
         own, now = self.peer.own, self.clock()
-        declared = {}
+        declared, name = {}, f"list-read {own.zone}".strip()
         if told.list_read:
-            name = f"list-read {own.zone}".strip()
             meanwhile = "each reads for itself, seldom"
             declared[name] = Declared(name, told.terms, meanwhile=meanwhile)
-            self.peer.reader = lambda at: duties.holder(name, at) in ("", own.name)
         duties = Duties(
             own.name, own.life.nonce, told.electorate, declared, told.waits, chance, now, told.terms
         )
+        if told.list_read:
+            self.peer.reader = lambda at: duties.holder(name, at) in ("", own.name)
         self.peer.invite(DutyGuest(duties), now)
         return duties
 
