--- a/limeridge/cli/duty.py
+++ b/limeridge/cli/duty.py
@@ -145,6 +145,35 @@
     raise click.exceptions.Exit(1 if failed else 0)
 
 
+def _outage(job: tuple[int, bool]) -> Any:
+    from limeridge.sim.outage import play
+
+    return play(*job)
+
+
+@duty.command("outage")
+@click.option(
+    "--members", "counts", type=click.IntRange(5, 400), multiple=True, default=(20, 100), show_default=True
+)
+@JOBS
+@AS_JSON
+def outage(counts: tuple[int, ...], jobs: int, as_json: bool) -> None:
+    """A ledger down for ten seconds under virtual members that all want calls: tries, and the way back."""
+    work = [(count, with_duty) for count in sorted(counts, reverse=True) for with_duty in (False, True)]
+    with multiprocessing.get_context("forkserver").Pool(jobs) as pool:
+        rows = pool.map(_outage, work, chunksize=1)
+    if as_json:
+        click.echo(orjson.dumps(rows))
+        return
+    table = Table("members", "ledger-probe", "tries/s while down", "first second back", "found ms", "all back ms")
+    for row in sorted(rows, key=lambda row: (row.members, row.duty)):
+        table.add_row(
+            str(row.members), "on" if row.duty else "off", f"{row.tries_a_second_down:.1f}",
+            str(row.first_second_back), str(row.found_after_ms), str(row.all_after_ms),
+        )  # fmt: skip
+    Console(width=110).print(table)
+
+
 @duty.command("show")
 @SOCKET
 @AS_JSON
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -3,6 +3,7 @@
 
 import random
 from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -11,13 +12,15 @@
 from hypothesis import strategies as st
 
 from limeridge.cli.duty import check as check_command
-from limeridge.duty import check, words
+from limeridge.duty import allot, check, words
 from limeridge.duty.ballots import NONE, PATIENCE, Promise, Terms, Token, Voter
 from limeridge.duty.electorate import Electorate, Standing
 from limeridge.duty.member import Declared, Duties
+from limeridge.duty.probe import Outlook, Pace, State
 from limeridge.duty.seek import Seeker, Waits
 from limeridge.duty.tenure import Tenure
 from limeridge.sim import duties as sim_duties
+from limeridge.sim import outage
 
 MS, SECOND = 1_000, 1_000_000
 TERMS = Terms(lease=SECOND, drift=0.01, margin=10 * MS)
@@ -394,3 +397,133 @@
         assert told.regained >= 0
         grants += told.grants
     assert grants > 10
+
+
+# ---- ledger-probe
+
+
+def test_a_ledger_that_is_down_is_tried_by_the_holder_and_comes_back_by_steps() -> None:
+    pace = Pace(trip=3, gap=100, gap_most=400, alone=1_000, firm=2, step=50, steps=4)
+    holder, other = Outlook(pace, random.Random(1)), Outlook(pace, random.Random(2))
+    for outlook in (holder, other):
+        for now in range(3):
+            assert outlook.may(False, True, 3, 8, now)
+            outlook.went(False, False, now)
+        assert outlook.state is State.DOWN
+    assert not other.may(False, True, 0, 8, 10**9), "others wait for word, however long"
+    times = []
+    for now in range(3, 3_000):
+        if holder.may(True, False, 0, 8, now):
+            times.append(now)
+            holder.went(False, True, now)
+    gaps = [b - a for a, b in pairwise(times)]
+    assert gaps[0] >= 100 and max(gaps) == 400 and gaps == sorted(gaps)
+    assert not holder.may(True, False, 1, 8, 10_000), "one try at a time"
+    for now in (10_000, 10_100):
+        assert holder.may(True, False, 0, 8, now)
+        holder.went(True, True, now)
+    assert holder.state is State.RISING
+    other.heard(holder.note(), 10_110)
+    allowed = [
+        next(n for n in range(9) if not other.may(False, True, n, 8, now) or n == 8)
+        for now in (10_111, 10_161, 10_211, 10_261)
+    ]
+    assert allowed == [1, 2, 4, 8] and other.state is State.UP
+    # Down again during a rise: at once, by its own calls and by word.
+    holder._go(State.RISING, 20_000)
+    for _ in range(3):
+        holder.went(False, True, 20_001)
+    assert holder.state is State.DOWN
+    other._go(State.RISING, 20_000)
+    other.heard(holder.note(), 20_002)
+    assert other.state is State.DOWN
+    for noise in (b"", b"r", b"x1", b"r9", b"\xff\xff"):
+        other.heard(noise, 20_003)
+
+
+def test_who_knows_no_holder_tries_by_itself_ever_more_seldom() -> None:
+    outlook = Outlook(Pace(trip=1, alone=100, alone_most=3_200), random.Random(5))
+    outlook.went(False, False, 0)
+    times = []
+    for now in range(60_000):
+        if outlook.may(False, False, 0, 4, now):
+            times.append(now)
+            outlook.went(False, False, now)
+    assert 15 < len(times) < 120 and max(b - a for a, b in pairwise(times)) <= 3_200
+    # One that becomes the holder does not sit out what it waited for while it was alone.
+    before = outlook.next_try
+    assert any(outlook.may(True, False, 0, 4, now) for now in range(60_000, 60_000 + 1_000_001, 1_000))
+    assert before
+
+
+@pytest.mark.parametrize("members", [5, 20])
+def test_with_the_duty_a_ledger_that_is_down_is_tried_by_few_and_found_soon(members: int) -> None:
+    with_duty, without = outage.play(members, True), outage.play(members, False)
+    assert without.tries_a_second_down > 8 * members
+    assert with_duty.tries_a_second_down < 3
+    assert 0 <= with_duty.found_after_ms <= 1_200 and with_duty.all_after_ms <= 4_000
+
+
+# ---- ledger-allot
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.dictionaries(st.sampled_from("abcdefg"), st.integers(0, 40), min_size=1), st.integers(0, 100))
+def test_the_cut_is_fair_and_spends_what_it_can(needs: dict[str, int], surplus: int) -> None:
+    given_ = allot.cut(needs, surplus)
+    assert sum(given_.values()) == min(surplus, sum(needs.values()))
+    assert all(0 <= given_[name] <= needs[name] for name in needs)
+    # Nobody who wants more has less than one above another's, but for what can't be cut further.
+    for one in needs:
+        for other in needs:
+            if given_[one] < needs[one]:
+                assert given_[other] <= given_[one] + 1
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.integers(0, 10**9))
+def test_what_is_in_use_never_exceeds_the_surplus_over_any_change_of_holder(seed: int) -> None:
+    """Clocks drift, answers come late or never, holders change and die; takers fill what they may."""
+    chance = random.Random(seed)
+    terms = allot.Terms(surplus=30, lasts=400, longest=300, drift=0.05)
+    names = [f"t{n}" for n in range(6)]
+    rates = {name: 1 + chance.uniform(-0.05, 0.05) for name in names}
+    takers = {name: allot.Taker(terms) for name in names}
+    needs = dict.fromkeys(names, 5)
+    calls: list[tuple[int, str]] = []
+    network: list[tuple[int, str, int, int]] = []
+    rate = 1 + chance.uniform(-0.05, 0.05)
+    book = allot.Book(terms, 0)
+    most = 0
+    for now in range(0, 12_000, 10):
+        if chance.random() < 0.003:  # another holder, on another clock, that knows of nothing
+            rate = 1 + chance.uniform(-0.05, 0.05)
+            book = allot.Book(terms, int(now * rate))
+        for name in names:
+            own = int(now * rates[name])
+            if chance.random() < 0.02:
+                needs[name] = chance.choice((0, 1, 5, 30))
+            if chance.random() < 0.06:
+                network.append((now + chance.randrange(0, 200), name, needs[name], own))
+            mine = sum(taker == name for _, taker in calls)
+            while mine < min(needs[name], takers[name].share(own)):
+                calls.append((now + chance.randrange(10, 285), name))
+                mine += 1
+        due = [each for each in network if each[0] <= now]
+        network = [each for each in network if each[0] > now]
+        for _, name, need, asked_at in due:
+            granted = book.asked(name, need, int(now * rate))
+            if chance.random() < 0.8:
+                takers[name].granted(granted, asked_at)
+        calls = [each for each in calls if each[0] > now]
+        most = max(most, len(calls))
+        assert len(calls) <= terms.surplus
+    assert most > terms.surplus // 2, "the surplus was not come near: nothing is shown"
+
+
+def test_uneven_needs_are_served_where_even_parts_leave_calls_unused() -> None:
+    needs = {f"n{number}": 18 if number < 4 else 1 for number in range(20)}
+    surplus = 80
+    even = sum(min(need, surplus // 20) for need in needs.values())
+    by_need = sum(allot.cut(needs, surplus).values())
+    assert (even, by_need) == (32, 80)
