Deal the surplus of the ledger's limit by need, under a duty: on virtual members and between processes

Even parts leave calls unused where load is uneven. With ledger_allot the holder of the duty deals the surplus by what each says it could use, in grants that lapse; no views are made then. A share that lapses with its dealer falls to the floor, and the next dealer waits until all that the one before dealt is over. Four processes: dealt, dealer killed, grants lapse, dealt again.

--- a/limeridge/cli/duty.py
+++ b/limeridge/cli/duty.py
@@ -165,7 +165,7 @@
     if as_json:
         click.echo(orjson.dumps(rows))
         return
-    table = Table("members", "ledger-probe", "tries/s while down", "first second back", "found ms", "all back ms")
+    table = Table("members", "ledger-probe", "tries/s down", "first second back", "found ms", "all back ms")
     for row in sorted(rows, key=lambda row: (row.members, row.duty)):
         table.add_row(
             str(row.members), "on" if row.duty else "off", f"{row.tries_a_second_down:.1f}",
--- a/limeridge/duty/check.py
+++ b/limeridge/duty/check.py
@@ -65,8 +65,14 @@
     Scope("again", "a second asking of one, given back or lapsed", begins=(2, 1), gives=1, ticks=2, lease=1),
     Scope("renewed", "a renewal, a message doubled", renewals=1, doubled=1, ticks=3),
     Scope("restarted", "a voter restarts and has forgotten", restarts=1, ticks=4, lease=1, tokens=False),
-    Scope("recalled", "the same, and it hears what others know first", restarts=1, ticks=4, lease=1,
-          recalls=True),
+    Scope(
+        "recalled",
+        "the same, and it hears what others know first",
+        restarts=1,
+        ticks=4,
+        lease=1,
+        recalls=True,
+    ),
 )
 FULL = (
     *QUICK,
--- a/limeridge/duty/guest.py
+++ b/limeridge/duty/guest.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from limeridge.duty import words
+from limeridge.duty.allotting import Allotting
 from limeridge.duty.member import Duties
 from limeridge.peers.members import Claim
 from limeridge.peers.peer import Event
@@ -14,17 +15,22 @@
 class DutyGuest:
     kind = "duty"
 
-    def __init__(self, duties: Duties) -> None:
-        self.duties = duties
+    def __init__(self, duties: Duties, allotting: Allotting | None = None) -> None:
+        self.duties, self.allotting = duties, allotting
         self.out: list[tuple[str, bytes]] = []
         self.events: list[Event] = []
         self.strange = 0  # bodies that could not be read
 
     def next_at(self, now: int) -> int:
-        return self.duties.next_at(now)
+        times = [self.duties.next_at(now)]
+        if self.allotting is not None and not self.duties.leaving:
+            times.append(max(now + 1, self.allotting.next_ask))
+        return min(times)
 
     def wake(self, present: tuple[str, ...], unix: int, now: int) -> None:
         self.duties.wake(present, unix, now)
+        if self.allotting is not None:
+            self.allotting.wake(now)
         self._take()
 
     def heard(self, sender: Claim, body: bytes, unix: int, now: int) -> None:
@@ -32,9 +38,20 @@
         if said is None:
             self.strange += 1
             return
-        self.duties.heard(sender.name, said, unix, now)
+        if isinstance(said, words.Need | words.Grant):
+            self._allot(sender.name, said, now)
+        else:
+            self.duties.heard(sender.name, said, unix, now)
         self._take()
 
+    def _allot(self, sender: str, said: words.Need | words.Grant, now: int) -> None:
+        if self.allotting is None:
+            return
+        if isinstance(said, words.Need):
+            self.allotting.heard_need(sender, said.seq, said.calls, now)
+        else:
+            self.allotting.heard_grant(said.seq, said.calls)
+
     def leave(self, now: int) -> None:
         self.duties.leave(now)
         self._take()
@@ -43,5 +60,10 @@
         duties = self.duties
         self.out += [(to, words.encode(body)) for to, body in duties.out]
         duties.out.clear()
+        if self.allotting is not None:
+            for to, what, seq, calls in self.allotting.out:
+                word = words.Need(seq, calls) if what == "need" else words.Grant(seq, calls)
+                self.out.append((to, words.encode(word)))
+            self.allotting.out.clear()
         self.events += [Event("duty", each.code, {"duty": each.duty} | each.fields) for each in duties.events]
         duties.events.clear()
--- a/limeridge/duty/member.py
+++ b/limeridge/duty/member.py
@@ -300,7 +300,7 @@
                 knows = self.voter.knows()
                 remembers = self.voter.votes(now) and self.voter.remembers()
                 self.out.append((sender, words.Known(self.electorate.version, remembers, knows)))
-        else:
+        elif isinstance(body, words.Known):
             self.standing.hears(sender, body.version)
             if self.is_voter and sender in self.electorate.voters:
                 self.voter.hears(sender, body.remembers, body.highest, now)
--- a/limeridge/duty/words.py
+++ b/limeridge/duty/words.py
@@ -73,7 +73,21 @@
     highest: dict[str, Token]
 
 
-Body = Ask | Answer | Back | Take | Held | Recall | Known
+class Need(Struct, frozen=True, array_like=True, tag="n"):
+    """To the holder of `ledger-allot`: calls that I could use above my floor."""
+
+    seq: int
+    calls: int
+
+
+class Grant(Struct, frozen=True, array_like=True, tag="g"):
+    """To one that said what it needs: calls, for as long as the terms say from when it asked."""
+
+    seq: int
+    calls: int
+
+
+Body = Need | Grant | Ask | Answer | Back | Take | Held | Recall | Known
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Body)
 
--- a/limeridge/peers/gate.py
+++ b/limeridge/peers/gate.py
@@ -9,6 +9,8 @@
 from collections import deque
 from collections.abc import Callable
 
+TURNED_MOST = 64  # of one time: callers come back, and each of their tries is turned away anew
+
 
 class Gate:
     """`share` gives the calls in hand allowed now, or None for any number; `clock` is in microseconds and
@@ -20,6 +22,7 @@
         self.out = 0
         self.lingering: deque[int] = deque()  # when each is over
         self.turned_away = self.lapsed = 0
+        self.told = 0  # of those turned away, how many were told as need
 
     def in_hand(self) -> int:
         now = self.clock()
@@ -27,6 +30,13 @@
             self.lingering.popleft()
         return self.out + len(self.lingering)
 
+    def need(self) -> int:
+        """Calls that could be used: those in hand, those turned away since this was last asked, and room to
+        grow by a quarter, for who plans by the share it has turns nobody away."""
+        turned, self.told = self.turned_away - self.told, self.turned_away
+        wanted = self.in_hand() + min(turned, TURNED_MOST)
+        return wanted + max(1, wanted // 4)
+
     def begin(self) -> bool:
         """Before a connection is opened; True counts the call."""
         share = self.share()
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -25,6 +25,10 @@
 
 from limeridge import __version__
 from limeridge.config import Setup, Unusable
+from limeridge.duty.allot import Taker
+from limeridge.duty.allot import Terms as AllotTerms
+from limeridge.duty.allotting import DUTY as ALLOT
+from limeridge.duty.allotting import Allotting
 from limeridge.duty.guest import DutyGuest
 from limeridge.duty.member import Declared, Duties
 from limeridge.peers.gate import Gate
@@ -229,8 +233,8 @@
         seeker = Seeker(Patience(), chance, clock()) if peers.from_list else None
         self.peer = Peer(own, peers.seeds, peers.habits, terms, chance, clock(), linger, seeker)
         self.listing = Listing(self) if peers.from_list else None
-        self.duties = self._duties(peers, chance)
         self.gate = Gate(self.share, clock, linger)
+        self.duties = self._duties(peers, chance)
         self.counts: Counter[str] = Counter()
         self.kept: deque[dict[str, object]] = deque(maxlen=EVENTS_KEPT)
         self.streams_in = self.streams_out = 0
@@ -264,12 +268,20 @@
         if told.list_read:
             meanwhile = "each reads for itself, seldom"
             declared[name] = Declared(name, told.terms, meanwhile=meanwhile)
+        if told.allot:
+            declared[ALLOT] = Declared(ALLOT, told.terms, meanwhile="floors alone")
         duties = Duties(
             own.name, own.life.nonce, told.electorate, declared, told.waits, chance, now, told.terms
         )
+        allotting = None
+        terms = self.peer.terms
+        if told.allot and terms is not None:
+            allot = AllotTerms(terms.surplus, told.allot, terms.longest, terms.drift)
+            allotting = Allotting(allot, duties, Taker(allot), lambda: max(0, self.gate.need() - terms.floor))
+            self.peer.above = allotting.share
         if told.list_read:
             self.peer.reader = lambda at: duties.holder(name, at) in ("", own.name)
-        self.peer.invite(DutyGuest(duties), now)
+        self.peer.invite(DutyGuest(duties, allotting), now)
         return duties
 
     # ---- what the instance sees
@@ -471,7 +483,7 @@
         if peer.holder is not None and peer.voter is not None and peer.terms is not None:
             told["share"] = {
                 "calls": peer.share(now),
-                "why": peer.holder.why(now),
+                "why": peer.why(now),
                 "in_hand": self.gate.in_hand(),
                 "floor": peer.terms.floor,
                 "limit": peer.terms.limit,
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -138,6 +138,7 @@
         self.guests: dict[str, Guest] = {}
         self.unix = 0  # as whoever drives it last told, for the guests
         self.seeker = seeker
+        self.above: Callable[[int], int] | None = None  # calls above the floor, where a duty deals them
         self.reader: Callable[[int], bool] | None = None  # whether the list is ours to read
         self.asks_list = False  # until whoever drives it has done so
         self.guests_at: dict[str, int] = {}  # when each is to be woken
@@ -485,18 +486,31 @@
         if self.holder is None or self.terms is None:
             return None
         share = self.holder.share(now)
+        if self.above is not None and now >= self.holder.begins:
+            share = self.terms.floor + self.above(now)
         present = len(self.members.present())
         if present > self.terms.capacity + self.terms.doubles:
             # More than the settings allow for: no promise holds, but it must not grow with their number.
             share = min(share, self.terms.limit // present)
         return min(share, self.terms.floor) if self.members.yields or self.leaving else share
 
+    def why(self, now: int) -> str:
+        """A reason code for the share."""
+        if self.holder is None:
+            return ""
+        if self.above is None or now < self.holder.begins:
+            return self.holder.why(now)
+        return "by-need" if self.above(now) else "floor-only"
+
     def _voters(self) -> list[Claim]:
         terms = self.terms
         assert terms is not None
         return [claim for claim in self.members.others(State.ALIVE, State.SUSPECT) if terms.votes(claim.name)]
 
     def _renew(self, now: int) -> None:
+        if self.above is not None:  # no views are made where a duty deals
+            self.next_renew = now + 1_000_000 * MS
+            return
         terms, holder, voter, offers = self.terms, self.holder, self.voter, self.offers
         assert terms is not None and holder is not None and voter is not None and offers is not None
         self.next_renew = now + terms.lease // RENEWALS
@@ -569,7 +583,7 @@
         if self.look(now) is not stand:
             self._tell("peers", f"with-{self.reach.stand.value}", present=len(self.members.present()))
         if self.holder is not None:
-            why = self.holder.why(now)
+            why = self.why(now)
             if why != self.was_why:
                 self.was_why = why
                 self._tell("share", why, share=self.share(now))
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -34,6 +34,7 @@
     terms: DutyTerms
     waits: Waits
     list_read: bool
+    allot: int  # microseconds that a grant of the ledger's limit lasts; 0 where it is not dealt by need
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,6 +108,9 @@
     checked.number("duties.drift", duties.drift if duties.HasField("drift") else 0.001, 0, 0.2, "a share")
     checked.number("duties.step_ms", duties.step_ms or 200, 1, lease, "milliseconds within the lease")
     checked.number("duties.steady_ms", duties.steady_ms or 30_000, lease, 86_400_000, "milliseconds")
+    checked.number("duties.allot_ms", duties.allot_ms or 1_500, 100, 600_000, "milliseconds")
+    if duties.ledger_allot and not message.HasField("shares"):
+        raise checked.refuse("duties.ledger_allot", "expected `shares` beside it: their surplus is dealt out")
     if duties.list_read and not message.from_list:
         raise checked.refuse("duties.list_read", "expected `from_list: true` beside it")
 
@@ -223,4 +227,5 @@
         DutyTerms(lease, drift, margin=min(50 * MS, lease // 10)),
         Waits(step, answer=2 * step, longest=10 * step, steady=int((duties.steady_ms or 30_000) * MS)),
         duties.list_read,
+        int((duties.allot_ms or 1_500) * MS) if duties.ledger_allot else 0,
     )
--- a/limeridge/sim/duties.py
+++ b/limeridge/sim/duties.py
@@ -12,6 +12,9 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from limeridge.duty import allot
+from limeridge.duty.allot import Taker
+from limeridge.duty.allotting import DUTY, Allotting
 from limeridge.duty.ballots import NONE, Terms, Token
 from limeridge.duty.electorate import Electorate
 from limeridge.duty.guest import DutyGuest
@@ -68,7 +71,13 @@
 
 
 class DutyFleet(Fleet):
-    def __init__(self, setting: Setting, voters: int, looks: Callable[[Fleet], None] | None = None) -> None:
+    def __init__(
+        self,
+        setting: Setting,
+        voters: int,
+        allots: bool = False,
+        looks: Callable[[Fleet], None] | None = None,
+    ) -> None:
         super().__init__(setting, looks)
         self.voters = min(voters, setting.members)
         self.resources = {CHECKED: Resource(True), OPEN: Resource(False)}
@@ -78,6 +87,12 @@
         self.tokens: dict[Token, str] = {}
         self.held_at = -1
         self.forgets = bool({each.kind for each in setting.troubles} & FORGET)
+        terms = setting.terms
+        self.allots = allots
+        self.allot_terms = allot.Terms(terms.surplus, 1_000 * MS, terms.longest, terms.drift)
+        self.declared = dict(DECLARED)
+        if allots:
+            self.declared[DUTY] = Declared(DUTY, Terms(LEASE), meanwhile="floors alone")
         self.names = tuple(f"n{number}" for number in range(self.voters))
 
     def start(self, number: int, host: str = "") -> Process:
@@ -86,9 +101,15 @@
         own = process.peer.own
         duties = Duties(
             own.name, own.life.nonce, Electorate(1, self.names, doubles=1 if self.has_doubles() else 0),
-            DECLARED, WAITS, chance, process.clock(),
+            self.declared, WAITS, chance, process.clock(),
         )  # fmt: skip
-        guest = self.guests[process] = DutyGuest(duties)
+        allotting = None
+        if self.allots:
+            allotting = Allotting(
+                self.allot_terms, duties, Taker(self.allot_terms), need=lambda: self.setting.terms.limit
+            )
+            process.peer.above = allotting.share
+        guest = self.guests[process] = DutyGuest(duties, allotting)
         process.peer.invite(guest, process.clock())
         self.after(int(chance.uniform(0, 50) * MS), partial(self.work, process, guest, chance))
         return process
@@ -201,6 +222,7 @@
 def play(seed: int, most: int = 14) -> tuple[gossip.Verdict, Told]:
     """A seed of members with duties: three or five voters."""
     setting = gossip.draw(seed, most=most)
-    fleet = DutyFleet(setting, random.Random(f"voters {seed}").choice((3, 5)))
+    chance = random.Random(f"voters {seed}")
+    fleet = DutyFleet(setting, chance.choice((3, 5)), chance.random() < 0.5)
     verdict = fleet.run()
     return verdict, fleet.told
--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -126,6 +126,7 @@
         self.held_back: list[Callable[[], None]] = []
         self.name = f"n{number}"
         self.in_hand: list[Call] = []
+        self.wants = 0  # calls that it could use
         setting, chance = fleet.setting, random.Random(f"{fleet.setting.seed} {number} {fleet.now}")
         self.chance = chance
         own = own_claim(self.name, (host, 1), UNIX + fleet.now + fleet.steps[number], chance.getrandbits(60))
@@ -188,6 +189,7 @@
             terms = fleet.setting.terms
             self.in_hand = [call for call in self.in_hand if call.end > now]
             share = self.peer.share(self.clock()) or 0
+            self.wants = terms.limit
             while len(self.in_hand) + 1 <= share:
                 end = now + int(terms.longest * self.chance.choice((0.05, 0.3, 1.0)))
                 self.in_hand.append(fleet.called(end))
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -220,6 +220,35 @@
     assert across, "the cut was not felt"
 
 
+def test_processes_are_dealt_the_limit_by_need_and_keep_to_it_when_the_dealer_dies(fleet: Fleet) -> None:
+    more = """duties { version: 1 voter: ["n0", "n1", "n2"] lease_ms: 600 step_ms: 60 steady_ms: 60000
+                       ledger_allot: true allot_ms: 500 }
+    """
+    for number in range(4):
+        # No floors and no callers: each asks for the one call that it might begin with.
+        fleet.start(number, lambda text: text.replace("doubles: 0", "doubles: 0 floor_share: 0") + more)
+    floor = 0
+
+    def shares() -> list[int]:
+        told = [max(0, share) for share in fleet.shares(0, 1, 2, 3)]
+        assert sum(told) <= 20
+        return told
+
+    until("all have more than their floor", lambda: min(shares()) > floor)
+    dealers = [
+        number
+        for number in range(4)
+        for row in fleet.show(number, b"duties").get("duties", [])
+        if row["granted_by"]
+    ]
+    assert len(dealers) == 1
+    dealer = dealers[0]
+    fleet.children[dealer].kill()
+    left = [number for number in range(4) if number != dealer]
+    until("grants lapse", lambda: all(shares()[number] == floor for number in left))
+    until("another deals", lambda: all(shares()[number] > floor for number in left))
+
+
 class ReadableList(threading.Thread):
     """A node list that members read: it answers with the places that they told."""
 
