Hand a duty over by hand: limeridge duty release and move

An operator may have to move a duty off a machine. On four processes: moved to the one that was named.

--- a/limeridge/cli/duty.py
+++ b/limeridge/cli/duty.py
@@ -174,6 +174,33 @@
     Console(width=110).print(table)
 
 
+DUTY = click.argument("name")
+
+
+def by_hand(path: Path, *words: str) -> None:
+    told = ask(path, "\t".join(words).encode())
+    if "error" in told:
+        raise click.ClickException(f"{path}: {told['error']}")
+    click.echo(f"{told['done']}: given up")
+
+
+@duty.command("release")
+@SOCKET
+@DUTY
+def release(path: Path, name: str) -> None:
+    """Has its holder give a duty up; somebody else takes it."""
+    by_hand(path, "release ", name)
+
+
+@duty.command("move")
+@SOCKET
+@DUTY
+@click.argument("to")
+def move(path: Path, name: str, to: str) -> None:
+    """Has its holder pass a duty to the member named."""
+    by_hand(path, "move ", name, to)
+
+
 @duty.command("show")
 @SOCKET
 @AS_JSON
--- a/limeridge/duty/guest.py
+++ b/limeridge/duty/guest.py
@@ -56,6 +56,11 @@
         self.duties.leave(now)
         self._take()
 
+    def release(self, duty: str, successor: str, now: int) -> str:
+        trouble = self.duties.release(duty, successor, now)
+        self._take()
+        return trouble
+
     def _take(self) -> None:
         duties = self.duties
         self.out += [(to, words.encode(body)) for to, body in duties.out]
--- a/limeridge/duty/member.py
+++ b/limeridge/duty/member.py
@@ -20,7 +20,6 @@
 
 RECALLS = 4  # a hold, until it knows
 SEQS_KEPT = 64
-REASONS = ("granted", "lapsed", "handed-on", "given-up", "refused", "drain", "unable", "slow", "newer-set")
 
 
 @dataclass(slots=True, frozen=True)
@@ -268,6 +267,20 @@
         if left:
             self.out.append(("", words.Held(duty, tenure.token, left, self.notes.get(duty, b""))))
 
+    def release(self, duty: str, successor: str, now: int) -> str:
+        """By hand: given up, or passed to `successor` where one is named. What stands in the way, in words;
+        empty where it is done."""
+        if duty not in self.declared:
+            return f"expected one of {', '.join(sorted(self.declared)) or 'no duties at all'}, got {duty!r}"
+        if not self.tenures[duty].holds(now):
+            return f"{self.own} does not hold {duty}, {self.holder(duty, now) or 'nobody'} does"
+        if successor and (successor == self.own or successor not in self.present):
+            return f"expected another member that is there, got {successor!r}"
+        self._give_back(duty, "by-hand", now, successor)
+        # Not at once ours again.
+        self.seekers[duty].failed(now, self.tenures[duty].terms.lease)
+        return ""
+
     def leave(self, now: int) -> None:
         """Before a drain: what we hold goes to the next, and we vote no more."""
         for duty in list(self.held_since):
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -169,7 +169,8 @@
 
 
 class Shown(LineReceiver):
-    """One question on the read-only socket (`show`, `brief`, `duties`, `events`), answered by one line."""
+    """One question on the member's socket (`show`, `brief`, `duties`, `events`), or a duty given up by
+    hand, its only command; answered by one line."""
 
     delimiter = b"\n"
     MAX_LENGTH = LINE_MOST
@@ -186,6 +187,8 @@
             told = self.link.brief()
         elif asked == b"duties":
             told = self.link.duties.shown(self.link.clock()) if self.link.duties is not None else {}
+        elif asked.startswith((b"release ", b"move ")):
+            told = self.link.hand_over(asked.decode("utf-8", "replace").split("\t"))
         elif asked == b"events":
             told = list(self.link.kept)
         else:
@@ -234,6 +237,7 @@
         self.peer = Peer(own, peers.seeds, peers.habits, terms, chance, clock(), linger, seeker)
         self.listing = Listing(self) if peers.from_list else None
         self.gate = Gate(self.share, clock, linger)
+        self.duty_guest: DutyGuest | None = None
         self.duties = self._duties(peers, chance)
         self.counts: Counter[str] = Counter()
         self.kept: deque[dict[str, object]] = deque(maxlen=EVENTS_KEPT)
@@ -281,7 +285,8 @@
             self.peer.above = allotting.share
         if told.list_read:
             self.peer.reader = lambda at: duties.holder(name, at) in ("", own.name)
-        self.peer.invite(DutyGuest(duties, allotting), now)
+        self.duty_guest = DutyGuest(duties, allotting)
+        self.peer.invite(self.duty_guest, now)
         return duties
 
     # ---- what the instance sees
@@ -450,6 +455,19 @@
             self.log.fault("peers-fault", trouble)
         self._turn()
 
+    # ---- by hand
+
+    def hand_over(self, words: list[str]) -> dict[str, object]:
+        """`release `, duty; or `move `, duty, member: parted by tabs, as duties have blanks in their
+        names."""
+        if self.duty_guest is None or len(words) not in (2, 3):
+            return {"error": "this member has no duties" if self.duty_guest is None else "expected a duty"}
+        now = self.clock()
+        trouble = self.duty_guest.release(words[1], words[2] if len(words) == 3 else "", now)
+        self.peer.carry(self.duty_guest.kind, now)
+        self._turn()
+        return {"error": trouble} if trouble else {"done": words[1]}
+
     # ---- showing
 
     def brief(self) -> dict[str, object]:
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -227,6 +227,10 @@
         self.guests[guest.kind] = guest
         self.guests_at[guest.kind] = now
 
+    def carry(self, kind: str, now: int) -> None:
+        """After something was asked of a guest from outside."""
+        self._carry(self.guests[kind], now)
+
     def _names(self) -> tuple[str, ...]:
         return tuple(sorted(claim.name for claim in self.members.present()))
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -12,8 +12,10 @@
 
 import orjson
 import pytest
+from click.testing import CliRunner
 from helpers import MOST, until
 
+from limeridge.cli.duty import duty as duty_commands
 from limeridge.cli.peers import ask
 from limeridge.sim.plan import Ranges, draw
 
@@ -296,6 +298,16 @@
     until("all know all, with no seeds", lambda: all(len(fleet.grades(n)) == 4 for n in range(4)))
     until("one reads for all", lambda: len(holders(0, 1, 2, 3)) == 1)
     [first] = holders(0, 1, 2, 3)
+    socket_of = {f"n{number}": str(fleet.folder / f"{number}.sock") for number in range(4)}
+    other = next(name for name in socket_of if name != first)
+
+    def by_hand(*words: str) -> str:
+        return CliRunner().invoke(duty_commands, words).output
+
+    assert "does not hold" in by_hand("release", socket_of[other], "list-read")
+    assert "given up" in by_hand("move", socket_of[first], "list-read", other)
+    until("who was named has it", lambda: holders(0, 1, 2, 3) == [other])
+    first = other
     killed = int(first[1:])
     fleet.children[killed].kill()
     left = [number for number in range(4) if number != killed]
