--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -509,6 +509,7 @@
         """Each so often: deaths that are known by now, deaths that are none, tables, the limit in use."""
         now, verdict = self.now, self.verdict
         there = self.processes()
+        self.judge_potential(there)
         for number, since in list(self.died.items()):
             name = f"n{number}"
             holds = [
@@ -557,6 +558,21 @@
             self.looks(self)
         self.after(100 * MS, self.look)
 
+    def judge_potential(self, there: list[Process]) -> None:
+        """What the ledger could have in its hands now, did each begin what it may: nobody's calls change what
+        the others may, so this too must keep to the limit. It is come near far more often than by the calls
+        that there are."""
+        could, of_living = 0, 0
+        for each in there:
+            mine = sum(call.end > self.now for call in each.in_hand)
+            of_living += mine
+            could += mine if each.paused else max(mine, each.peer.share(each.clock()) or 0)
+        left_behind = sum(call.end > self.now for call in self.calls) - of_living
+        limit = self.setting.terms.limit
+        if could + left_behind > limit:
+            told = f"{could} calls may be in hand, {left_behind} are left behind, the limit is {limit}"
+            self.broke("limit", told)
+
     def judge_end(self) -> None:
         verdict, there = self.verdict, self.processes()
         if verdict.agreed_after < 0:
