--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -302,7 +302,13 @@
     for outcome in explore("any", range(FIXED), JOBS):
         coverage.add(outcome)
         assert not outcome.rule, f"limeridge sim replay {outcome.seed}: {outcome.rule}: {outcome.what}"
-    assert set(coverage.faults) == {kind.value for kind in Kind}
+    # Faults among peers come where instances know each other.
+    fleets = Coverage()
+    for outcome in explore("peers", range(8), JOBS):
+        fleets.add(outcome)
+        assert not outcome.rule, f"limeridge sim replay {outcome.seed}: {outcome.rule}: {outcome.what}"
+    assert set(coverage.faults) | set(fleets.faults) == {kind.value for kind in Kind}
+    assert all(fleets.rules()[rule] >= 8 for rule in ("limit", "known", "in-use", "datagram"))
     assert coverage.least_instances >= 2 and coverage.txns / coverage.runs >= 130
     judged = coverage.rules()
     for rule in (
