End a hold that ran out unseen before the duty is passed back; judge acts without the late ones

Found at the resource that compares no tokens: an act 71 ms after the other's, 500 are asked. Both now look at the lapse first; a test passes the duty back by hand.

--- a/limeridge/duty/member.py
+++ b/limeridge/duty/member.py
@@ -180,10 +180,8 @@
 
     def _look(self, duty: str, unix: int, now: int) -> None:
         tenure, seeker = self.tenures[duty], self.seekers[duty]
-        holds = tenure.holds(now)
-        if duty in self.held_since and not holds:
-            self._ended(duty, "lapsed")
-        if holds:
+        self._lapse(duty, now)
+        if tenure.holds(now):
             self._keep(duty, now)
         seeker.sees(bool(self.holder(duty, now)), now)
         if tenure.holds(now):
@@ -200,6 +198,12 @@
             seeker.began(now)
             self._ask(duty, now)
 
+    def _lapse(self, duty: str, now: int) -> None:
+        """A hold that ran out is over, whether or not we were awake then: what follows is another one, whose
+        first act waits anew. To be seen to before anything that could begin it."""
+        if duty in self.held_since and not self.tenures[duty].holds(now):
+            self._ended(duty, "lapsed")
+
     def _able(self, duty: str, now: int) -> bool:
         work = self.work.get(duty)
         return not self.doubts and (work is None or work.able(now))
@@ -343,6 +347,7 @@
             return
         duty, asked_at = asked
         tenure, seeker = self.tenures[duty], self.seekers[duty]
+        self._lapse(duty, now)
         tenure.answered(voter, Answer(told.token, told.why, told.highest, told.holder, told.left), asked_at)
         if tenure.holds(now):
             if duty not in self.held_since:
@@ -362,6 +367,7 @@
         if take.duty not in self.declared or self.leaving or self.standing.newer():
             return
         tenure, seeker = self.tenures[take.duty], self.seekers[take.duty]
+        self._lapse(take.duty, now)
         tenure.learned(take.token)
         word = self.word.get(take.duty)
         if word is not None and word.token <= take.token:
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -349,6 +349,24 @@
     assert band.all[heir].may("d", band.now) is not None
 
 
+def test_a_hold_that_ran_out_unseen_is_over_before_the_duty_is_passed_back() -> None:
+    """Seed 2097: it lapsed, another had it and passed it back before the first was awake again; without a
+    look at that, its first act did not wait."""
+    band = Band(wait=700 * MS)
+    [holder] = band.holders()
+    band.run(SECOND)
+    member = band.all[holder]
+    assert member.may("d", band.now) is not None
+    later = band.now + 2 * TERMS.lease  # it did nothing meanwhile
+    member.heard("q", words.Take("d", Token(10**12, "q", 9)), 0, later)
+    asked, seq = member.tenures["d"].token, member.seq
+    for voter in band.electorate.voters:
+        if voter != holder:
+            member.heard(voter, words.Answer("d", asked, seq, 1, "", asked), 0, later)
+    assert member.tenures["d"].holds(later) and member.may("d", later) is None
+    assert member.may("d", later + 701 * MS) is not None
+
+
 def test_bodies_that_are_none_are_passed_over() -> None:
     chance = random.Random(4)
     good = words.encode(words.Ask("d", token(3), 1, 1))
