Deal by life and not by name; a refused candidate's token must not cost the holder its voters

Two processes under one name asked for their need, the book counted one taker, and an answer to one could be taken by the other (Allotting._deal, heard_grant). Both go by life now. What was given back is now remembered token by token.

--- a/limeridge/duty/allotting.py
+++ b/limeridge/duty/allotting.py
@@ -30,7 +30,13 @@
     asked: dict[int, int] = field(default_factory=dict)  # by number: when it was sent
     book: Book | None = None
     dealt_under: Token = NONE
-    out: list[tuple[str, str, int, int]] = field(default_factory=list)  # to, "need" or "grant", number, calls
+    out: list[tuple[str, str, int, int, str]] = field(default_factory=list)
+    # to, "need" or "grant", number, calls, the life that asked
+
+    @property
+    def key(self) -> str:
+        """Of our life: two processes may have one name, and each is a taker of its own."""
+        return f"{self.duties.own}/{self.duties.nonce:x}"
 
     def share(self, now: int) -> int:
         """Calls in hand above the floor that we may have now; to be asked for before each call."""
@@ -49,28 +55,30 @@
         while len(self.asked) > SEQS_KEPT:
             del self.asked[next(iter(self.asked))]
         if holder == self.duties.own:
-            self._deal(self.duties.own, self.seq, self.need(), now)
+            self._deal(self.duties.own, self.key, self.seq, self.need(), now)
         else:
-            self.out.append((holder, "need", self.seq, self.need()))
+            self.out.append((holder, "need", self.seq, self.need(), self.key))
 
-    def heard_need(self, sender: str, seq: int, need: int, now: int) -> None:
+    def heard_need(self, sender: str, key: str, seq: int, need: int, now: int) -> None:
         if not self.duties.leaving:
-            self._deal(sender, seq, need, now)
+            self._deal(sender, key, seq, need, now)
 
-    def heard_grant(self, seq: int, calls: int) -> None:
+    def heard_grant(self, seq: int, calls: int, key: str) -> None:
+        if key != self.key:
+            return  # another process under our name asked
         asked_at = self.asked.pop(seq, None)
         if asked_at is not None:
             self.taker.granted(min(calls, self.terms.surplus), asked_at)
 
-    def _deal(self, taker: str, seq: int, need: int, now: int) -> None:
+    def _deal(self, taker: str, key: str, seq: int, need: int, now: int) -> None:
         """Under the duty's token of this moment; a new one begins a new book, which waits."""
         tenure = self.duties.tenures[DUTY]
         if not tenure.holds(now):
             return
         if self.book is None or tenure.token != self.dealt_under:
             self.book, self.dealt_under = Book(self.terms, now), tenure.token
-        calls = self.book.asked(taker, need, now)
+        calls = self.book.asked(key, need, now)
         if taker == self.duties.own:
-            self.heard_grant(seq, calls)
+            self.heard_grant(seq, calls, key)
         else:
-            self.out.append((taker, "grant", seq, calls))
+            self.out.append((taker, "grant", seq, calls, key))
--- a/limeridge/duty/ballots.py
+++ b/limeridge/duty/ballots.py
@@ -47,6 +47,7 @@
 
 
 NONE = Token()
+OVER_MOST = 8
 DUTIES_MOST = 64  # of which a voter keeps promises
 PATIENCE = 1.25  # holds from its start until a voter that finds no quorum that remembers votes without one
 
@@ -84,7 +85,7 @@
     token: Token = NONE
     until: int = 0
     highest: Token = NONE
-    over: Token = NONE  # the highest that was given back: no asking under it counts any more
+    over: tuple[Token, ...] = ()  # given back lately: an asking under one of them comes too late
     kept_for: str = ""  # a successor's name that the duty was passed to
     kept_until: int = 0
 
@@ -95,7 +96,7 @@
         """A first asking and a renewal alike: a holder asks again under its own token."""
         if self.stands(now) and self.token != token:
             return Answer(token, "held", self.highest, self.token.key, self.until - now)
-        if token <= self.over:
+        if token in self.over:
             return Answer(token, "over", self.highest)
         if token < self.highest:
             return Answer(token, "behind", self.highest)
@@ -108,8 +109,10 @@
 
     def given_back(self, token: Token, successor: str, keep: int, now: int) -> None:
         """By its holder, which acts no more. For `keep` microseconds only the successor may have it."""
-        self.over = max(self.over, token)
-        self.highest = max(self.highest, token)
+        # Of one that never had it too, and then it must not count against whoever has: a candidate that was
+        # refused gives back a token above the holder's.
+        if token not in self.over:
+            self.over = (*self.over, token)[-OVER_MOST:]
         if self.token == token:
             self.token, self.until = NONE, 0
             if successor:
--- a/limeridge/duty/check.py
+++ b/limeridge/duty/check.py
@@ -108,7 +108,7 @@
     token: Token = NONE
     left: int = 0  # of the promise
     highest: Token = NONE
-    over: Token = NONE
+    over: tuple[Token, ...] = ()
     silent: int = 0  # ticks of silence left after a start
     patience: int = 0  # until it votes without a quorum that remembers
     told: int = -1  # voters that told what they remember; -1 for one that never forgot
--- a/limeridge/duty/guest.py
+++ b/limeridge/duty/guest.py
@@ -39,18 +39,18 @@
             self.strange += 1
             return
         if isinstance(said, words.Need | words.Grant):
-            self._allot(sender.name, said, now)
+            self._allot(sender, said, now)
         else:
             self.duties.heard(sender.name, said, unix, now)
         self._take()
 
-    def _allot(self, sender: str, said: words.Need | words.Grant, now: int) -> None:
+    def _allot(self, sender: Claim, said: words.Need | words.Grant, now: int) -> None:
         if self.allotting is None:
             return
         if isinstance(said, words.Need):
-            self.allotting.heard_need(sender, said.seq, said.calls, now)
+            self.allotting.heard_need(sender.name, sender.key, said.seq, said.calls, now)
         else:
-            self.allotting.heard_grant(said.seq, said.calls)
+            self.allotting.heard_grant(said.seq, said.calls, said.to)
 
     def leave(self, now: int) -> None:
         self.duties.leave(now)
@@ -66,8 +66,8 @@
         self.out += [(to, words.encode(body)) for to, body in duties.out]
         duties.out.clear()
         if self.allotting is not None:
-            for to, what, seq, calls in self.allotting.out:
-                word = words.Need(seq, calls) if what == "need" else words.Grant(seq, calls)
+            for to, what, seq, calls, key in self.allotting.out:
+                word = words.Need(seq, calls) if what == "need" else words.Grant(seq, calls, key)
                 self.out.append((to, words.encode(word)))
             self.allotting.out.clear()
         self.events += [Event("duty", each.code, {"duty": each.duty} | each.fields) for each in duties.events]
--- a/limeridge/duty/words.py
+++ b/limeridge/duty/words.py
@@ -85,6 +85,7 @@
 
     seq: int
     calls: int
+    to: str = ""  # the life that asked: two processes may have one name
 
 
 Body = Need | Grant | Ask | Answer | Back | Take | Held | Recall | Known
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -44,6 +44,10 @@
     promise.given_back(token(5), "", 0, 2 * TERMS.hold)
     assert promise.asked(token(5), 2 * TERMS.hold).why == "over", "a late asking of one that gave back"
     assert promise.asked(token(6, "y"), 2 * TERMS.hold).why == ""
+    # Seed 2081: a candidate that was refused gives its higher token back; the holder must not lose by it.
+    promise.given_back(token(9, "z"), "", 0, 2 * TERMS.hold)
+    assert promise.asked(token(9, "z"), 2 * TERMS.hold).why == "held"
+    assert promise.asked(token(6, "y"), 3 * TERMS.hold - 1).why == "", "it renews as before"
 
 
 def test_what_was_given_back_for_a_successor_is_kept_for_it_a_while() -> None:
