--- a/limeridge/duty/tenure.py
+++ b/limeridge/duty/tenure.py
@@ -72,10 +72,6 @@
         """Too many have refused for this token to be granted by a quorum."""
         return voters - len(self.refused) < self.quorum
 
-    def behind(self) -> bool:
-        """A resource or a voter knows of a token above ours."""
-        return self.token != NONE and self.known > self.token
-
     # ---- ending it
 
     def give_back(self) -> Token:
