Close connections by halves, the door at once, and lose nothing that crosses an end

- A close over unread bytes was a reset, which takes answers on their way with it (callers.Connection.close: loseConnection stops reading and closes).
Now our end of the stream goes out behind what is unsent, and what comes is read and dropped up to the peer's end, 256 KiB or 1 s.
A request read after the end is never run.
- close_listener closed a turn after the backlog was read (stopListening defers), and read it until the table stopped growing, which it does when it is full: who stood in the backlog was reset with what it wrote.
Now all are taken and the socket is closed in the same breath.
- A resting connection that gave way to a newcomer was closed with no farewell, left the table while its descriptor was still held, and was swept by nobody if its peer did not read.
Now it hears a farewell from places kept for this, and what crosses is served; sockets that are cut keep their descriptor a turn longer, so few of them in one turn.
- At time-up answers unsent were lost with the process, and what the last turn read was left unanswered (reactor.stop runs before the next write).
Now the streams are ended in order 0.15 s before the kill.
- An old kernel link was closed over notices unread, a reset that could take the last commands; a reply is never sent again.
Now it is closed by halves.
- SIGHUP before the signals were taken over was ignored although the file had been read: the old addresses stayed for life.
It is held back now until it can be taken.
- An address held by a dying predecessor ended the process after 5 s.
It is waited for without end; one that can't be ours still ends it.
- The socket for reports was tried for once.
It is tried again with each report.
- The longest pause between tries to link was 1 s and is 0.25 s.
Calls' sockets had no TCP_NODELAY.
- The bounds on descriptors went by the file where the machine grants fewer.

Ruled out: a reply in the turn of its time-out, cut replies, ids used again, repeats in the turn of a run's end, a link lost in the turn of its resume: the tests held before.

--- a/limeridge/__main__.py
+++ b/limeridge/__main__.py
@@ -16,8 +16,9 @@
 
 
 def main() -> int:
-    # Against a notice of new configuration that comes before there is anybody to read it: it would end us.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Against a notice of new configuration that comes before there is anybody to take it: it would end us, or
+    # be passed over by one that has read the file already. It is held back until it can be taken.
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
     # Against a log that goes into a socket which got the number of a closed standard stream.
     for stream in (0, 1, 2):
         try:
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -30,7 +30,10 @@
 OPEN_MOST = 32  # txns open on a connection
 IDS_KEPT = 256  # ids of a connection that are still known after their answer
 UNREAD_MOST = 262_144  # bytes of answers that a peer may leave unread; 32 answers fit
-CLOSE_AFTER = 1.0  # seconds that a peer gets to close after a farewell on an idle connection
+CLOSE_AFTER = 1.0  # seconds that a peer gets to close after a farewell or after our own end of the stream
+DISCARDED_MOST = 262_144  # bytes that are read and dropped of a connection that is being closed
+PARTING = 8  # one in so many places is kept for resting ones that were bidden farewell for a newcomer's sake
+ACCEPTED_MOST = 100_000  # connections taken from the backlog before the listening socket is closed
 TXN_TAKES = 2_500  # bytes that a txn takes here besides its body
 WHOLE = 2.0  # seconds for a message to come whole, against peers that hold a place with half of one or none
 BLAME_MOST = 32  # of errors (2 each) and voided txns (1) in a row, after which a connection is done with
@@ -300,6 +303,7 @@
         self.spoiled = ""  # why nothing more is read
         self.half_since = self.heard  # when the message that is not whole yet began
         self.code = ""
+        self.discarded = 0  # bytes read of it while it was being closed
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -308,6 +312,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         if self.code or self.spoiled:
+            self.discard(len(data))
             return
         self.heard = self.callers.clock.seconds()
         if not self.frames.begun:
@@ -328,6 +333,13 @@
             self.callers.log.fault("connection-fault", trouble)
             self.spoil("defect")
 
+    def discard(self, size: int) -> None:
+        """What comes after our end of the stream can't be answered, so it is not taken: its caller sees that
+        end, and knows that nothing ran."""
+        self.discarded += size
+        if self.code and self.discarded > DISCARDED_MOST:  # against one that goes on sending at full speed
+            self.transport.abortConnection()
+
     def go_on(self) -> None:
         if not self.code and not self.spoiled:
             self.transport.resumeProducing()
@@ -428,20 +440,27 @@
             self.send(frame(FAREWELL))
 
     def close(self, code: str, abort: bool = False) -> None:
-        if not self.code:
-            self.code, self.closed_at = code, self.callers.clock.seconds()
-            if abort or self.stalled:
-                self.transport.abortConnection()
-            else:
-                self.transport.unregisterProducer()
-                self.transport.loseConnection()
+        """Half a close: our end of the stream goes out behind what is still unsent, and what comes meanwhile
+        is read and dropped up to the peer's own end. Against a close over unread bytes, which is a reset and
+        takes answers on their way with it."""
+        if self.code:
+            return
+        self.code, self.closed_at = code, self.callers.clock.seconds()
+        if abort:
+            self.transport.abortConnection()
+            return
+        self.transport.unregisterProducer()
+        for data in self.clear_backlog():
+            self.transport.write(data)
+        self.transport.loseWriteConnection()
+        self.transport.resumeProducing()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if not self.code:
             closed = isinstance(reason.value, ConnectionDone)
             self.code = self.spoiled or ("peer-closed" if closed else "peer-reset")
             if self.farewell_at is not None and not self.open and not self.spoiled:
-                self.code = "farewell"
+                self.code = self.callers.parted(self)
         unanswered, self.open = list(self.open.values()), {}
         self.callers.left(self, len(unanswered))
         for intake in unanswered:
@@ -473,7 +492,8 @@
     noisy = False
 
     def __init__(self, service: Service, decoder: Decoder, clock: Any, log: Log, *, most: int,
-                 held_most: int, unread_most: int, unix: Callable[[], float] = time.time) -> None:
+                 held_most: int, unread_most: int, slack: int = 4,
+                 unix: Callable[[], float] = time.time) -> None:
         self.service, self.clock, self.log, self.unix = service, clock, log, unix
         self.decoder = decoder
         self.most, self.held_most, self.unread_most = most, held_most, unread_most
@@ -481,36 +501,70 @@
         self.connections: dict[Connection, None] = {}
         # Those that sent nothing yet that could be served, the oldest first, and since when they stand.
         self.strangers: dict[Connection, float] = {}
-
-    def buildProtocol(self, addr: object) -> Connection | Rejected:
-        return Connection(self) if self._room() else Rejected(self.log)
+        # Those that rested and were bidden farewell for a newcomer's sake, and when; what crosses is served.
+        self.parting: dict[Connection, float] = {}
+        # Sockets that are cut keep their descriptors up to the next turn: no more in a turn than `slack`.
+        self.slack, self.cut = slack, 0
+
+    def buildProtocol(self, addr: object) -> Connection | Rejected | None:
+        if self._room():
+            return Connection(self)
+        if self._may_cut():
+            return Rejected(self.log)
+        self.log.event("connection-end", "full")
+        return None
 
     def _room(self) -> bool:
         """Against a table full of connections that say nothing, or rest: a newcomer takes the place of one.
-        Those that say nothing never fill it, so that usual callers keep theirs."""
-        full = len(self.connections) >= self.most
+        Those that say nothing never fill it, so that usual callers keep theirs. One that rests hears a
+        farewell and keeps its descriptor for a while, from the places that are kept for this."""
+        crowded = len(self.connections) - len(self.parting) >= self.most - self.most // PARTING
         oldest = next(iter(self.strangers), None)
-        if ((full or len(self.strangers) * STRANGERS >= self.most) and oldest is not None
-                and self._displaced(oldest, self.strangers[oldest], abort=True)):
+        if ((crowded or len(self.strangers) * STRANGERS >= self.most) and oldest is not None
+                and self._cut_short(oldest, self.strangers[oldest])):
             return True
-        if full:
-            resting = [each for each in self.connections
-                       if each not in self.strangers and not each.open and not each.code]
+        if len(self.connections) >= self.most:
+            gone = next((each for each in self.parting if not each.open), None)
+            return gone is not None and self._cut_short(gone, self.parting[gone])
+        if crowded:
+            resting = [each for each in self.connections if each not in self.strangers
+                       and not each.open and not each.code and each.farewell_at is None]
             longest = min(resting, key=lambda each: each.heard, default=None)
-            return longest is not None and self._displaced(longest, longest.heard)
+            if longest is not None and self._settled(longest.heard):
+                longest.say_farewell()
+                self.parting[longest] = self.clock.seconds()
         return True
 
-    def _displaced(self, connection: Connection, since: float, abort: bool = False) -> bool:
-        """False where it was still heard, or made, a moment ago: it stays."""
-        if self.clock.seconds() - since < SETTLE:
+    def _settled(self, since: float) -> bool:
+        """False where it was heard, made or bidden farewell a moment ago: it stays."""
+        return bool(self.clock.seconds() - since >= SETTLE)
+
+    def _cut_short(self, connection: Connection, since: float) -> bool:
+        if not self._settled(since) or not self._may_cut():
             return False
-        connection.close("displaced", abort)
+        connection.close("displaced", abort=True)
         self.drop(connection)
         return True
 
+    def _may_cut(self) -> bool:
+        if self.cut >= self.slack:
+            return False
+        if not self.cut:
+            self.clock.callLater(0, self._none_cut)
+        self.cut += 1
+        return True
+
+    def _none_cut(self) -> None:
+        self.cut = 0
+
+    def parted(self, connection: Connection) -> str:
+        """The code of the end of one that was bidden farewell."""
+        return "displaced" if connection in self.parting else "farewell"
+
     def drop(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
         self.strangers.pop(connection, None)
+        self.parting.pop(connection, None)
 
     def joined(self, connection: Connection) -> None:
         self.connections[connection] = None
@@ -553,7 +607,7 @@
                 connection.close("half-message")
             elif connection.farewell_at is not None:
                 if now - max(connection.farewell_at, connection.heard) > CLOSE_AFTER:
-                    connection.close("farewell")
+                    connection.close(self.parted(connection))
             elif limit and now - connection.heard > limit:
                 connection.say_farewell()
 
@@ -561,6 +615,11 @@
         for connection in list(self.connections):
             connection.say_farewell()
 
+    def part(self) -> None:
+        """The process is about to end: what is answered goes out first, then our end of each stream."""
+        for connection in list(self.connections):
+            connection.close("drain")
+
 
 def taken(intake: Intake) -> int:
     """Bytes of the process's memory that a txn in hand takes."""
@@ -582,12 +641,12 @@
         self.log.event("connection-end", "full")
 
 
-def close_listener(port: Any, factory: Callers) -> None:
+def close_listener(port: Any) -> None:
     """Stops listening without losing whoever is in the backlog: those connections stand already, and closing
-    the socket would reset them with what they wrote."""
+    the socket would reset them with what they wrote. All are taken, whether or not there is a place for them,
+    and the socket is closed in the same breath: `stopListening` would leave it open, and unread, up to the
+    next turn of the loop."""
     port.socket.listen(0)
-    known = -1
-    while known != len(factory.connections):
-        known = len(factory.connections)
-        port.doRead()
-    port.stopListening()
+    port.numberAccepts = ACCEPTED_MOST
+    port.doRead()
+    port.connectionLost(connectionDone)
--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -23,7 +23,7 @@
 from limeridge.net.log import Log
 
 LINE_MOST = 65_536  # bytes of a line
-RELINK = (0.02, 1.0)  # seconds between tries, the first and the longest
+RELINK = (0.02, 0.25)  # seconds between tries, the first and the longest: a try that is refused costs little
 CONNECT = 2.0  # seconds that one try may take
 PATIENCE = 1.5  # seconds without a link after which the kernel counts as away: a short break is no ill health
 HAND_OVER = 2.0  # seconds that a link which another replaced gets to end by itself
@@ -304,8 +304,10 @@
             return
         self._unready()
         old, self.link, self.dial = self.link, link, None
-        if old is not None:  # what was written to it last must not be lost with it
-            old.transport.loseConnection()
+        if old is not None:
+            # What was written to it last must not be lost with it, and would be if it were closed over
+            # notices that are not read yet: those come again on the new one, here they are passed over.
+            old.transport.loseWriteConnection()
             self.reactor.callLater(HAND_OVER, old.transport.abortConnection)
         self.log.event("link-up", cursor=self.cursor)
         link.transport.write(encode("OPEN", cursor=self.cursor))
--- a/limeridge/net/ledger.py
+++ b/limeridge/net/ledger.py
@@ -154,6 +154,7 @@
         self.way, self.reply = way, Reply()
 
     def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
         self.way.stands(self)
 
     def dataReceived(self, data: bytes) -> None:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import resource
 import signal
@@ -24,7 +25,20 @@
 
 from limeridge import __version__
 from limeridge.config import Setup, Unusable
-from limeridge.facade import Answer, Blocked, Called, Do, End, Ended, Facade, Intake, Kind, News, Step
+from limeridge.facade import (
+    RESULTS_KEPT,
+    Answer,
+    Blocked,
+    Called,
+    Do,
+    End,
+    Ended,
+    Facade,
+    Intake,
+    Kind,
+    News,
+    Step,
+)
 from limeridge.net.callers import SWEEP, Callers, Decoder, close_listener
 from limeridge.net.kernel import Kernel
 from limeridge.net.ledger import Call, Gate, Ledger
@@ -35,7 +49,10 @@
 GUARD = 0.05  # seconds between two looks for txns past their due time
 CHECK_WAIT = 0.5  # seconds that a deep check may take
 BACKLOG = 512
-LISTEN_EVERY, LISTEN_TRIES = 0.05, 100  # seconds, times
+LISTEN_EVERY, LISTEN_TRIES = 0.05, 100  # seconds, times that an address which can't be ours is tried
+LISTEN_TOLD = 20  # tries between two log lines of an address that somebody still holds
+OWN = 12  # descriptors of the process besides those of callers and calls: streams, loop, port, links, reports
+PART = 0.15  # seconds before the kill at which the connections that are left are closed in good order
 LAST_CALL = 0.08  # seconds before the kill at which the process ends, whatever is still open
 QUIET = 0.15  # seconds without a connection or an open txn after which a drained instance ends
 READ_AGAIN, READ_TRIES = 0.5, 6  # seconds, times, that a configuration which can't be used is read again
@@ -95,12 +112,13 @@
         self.kill_at = 0.0
         self.quiet_since: float | None = None
         self.jobs: dict[str, Job] = {}
-        self.facade = Facade(plain, setup.seed, reactor, log, self.wake)
+        budget = int(setup.memory_mb * (1 << 20))
+        self.facade = Facade(plain, setup.seed, reactor, log, self.wake, min(RESULTS_KEPT, budget // 8))
         # Descriptors: half and a bit for callers, a few for ourselves; the kernel's link keeps its room.
-        spare, budget = max(16, min(48, setup.sockets // 4)), int(setup.memory_mb * (1 << 20))
+        spare = max(16, min(48, setup.sockets // 4))
         to_ledger = min(128, setup.sockets // 8)
         self.callers = Callers(self, Decoder(setup.products, setup.customers), reactor, log,
-                               most=setup.sockets - to_ledger - spare,
+                               most=setup.sockets - to_ledger - spare, slack=max(1, spare - OWN),
                                held_most=budget // 8, unread_most=budget // 8, unix=unix)
         self.kernel = Kernel(self, reactor, setup.kernel.host, setup.kernel.port, log)
         self.ledger = Ledger(reactor, setup.ledger.host, setup.ledger.port, log, to_ledger)
@@ -130,8 +148,7 @@
                        cores=setup.cores, memory_mb=setup.memory_mb, sockets=setup.sockets,
                        settings=dict(setup.plain))
         self.guarded(lambda: self.listen(LISTEN_TRIES))
-        self.guarded(lambda: self.reactor.listenUDP(
-            0, self.node_list, interface="::" if ":" in setup.node_list.host else ""))
+        self.open_reports()
         self.guarded(self.kernel.connect)
         if self.peers is not None:
             self.guarded(self.peers.start)
@@ -145,21 +162,35 @@
         loop.start(every, now=False)
         self.loops.append(loop)
 
-    def listen(self, tries: int) -> None:
-        """A predecessor under this address may still be dying."""
+    def listen(self, tries: int, told: int = 0) -> None:
+        """A predecessor under this address may still be dying, for as long as its own notice lets it: while
+        somebody holds the address it is tried again without end. One that can't be ours is given up."""
         listen = self.setup.listen
         if self.leaving:
             return
         try:
             self.port = self.reactor.listenTCP(listen.port, self.callers, BACKLOG, listen.host)
         except CannotListenError as trouble:
-            self.log.event("listen", "taken", why=str(trouble), tries_left=tries)
-            if tries:
-                self.reactor.callLater(LISTEN_EVERY, self.listen, tries - 1)
+            held = getattr(trouble.socketError, "errno", None) == errno.EADDRINUSE
+            if told % LISTEN_TOLD == 0 or not held:
+                self.log.event("listen", "taken" if held else "unusable", why=str(trouble),
+                               **({} if held else {"tries_left": tries}))
+            if held or tries:
+                self.reactor.callLater(LISTEN_EVERY, self.guarded,
+                                       partial(self.listen, tries - (not held), told + 1))
             else:
                 self.exit_code = 1
                 self.stop()
 
+    def open_reports(self) -> None:
+        """Tried again with each report until it is there: a start in a moment without descriptors or ports
+        must not leave the instance unlisted for its whole life."""
+        try:
+            self.reactor.listenUDP(0, self.node_list,
+                                   interface="::" if ":" in self.setup.node_list.host else "")
+        except (OSError, CannotListenError) as trouble:
+            self.log.event("reports", "no-socket", why=str(trouble)[:200])
+
     def observed(self, event: Mapping[str, Any]) -> None:
         """What went wrong where only the reactor was there to catch it."""
         failure = event.get("log_failure")
@@ -287,6 +318,8 @@
             lambda figures: self.facade.tick(self.facade.now(), figures)).addErrback(self.met, "tick-fault")
 
     def report(self) -> None:
+        if self.node_list.transport is None:
+            self.open_reports()
         if self.kernel.present and not self.leaving:  # without its kernel it can start nothing
             self.node_list.report(self.facade.healthy)
 
@@ -335,13 +368,22 @@
         grace: Any = self.setup.plain.get("rules.drain_grace", 0)
         stay = min(STAY * grace, self.setup.stop / 2)
         self.reactor.callLater(stay / 1_000_000, self.shut_door)
+        # All is answered by then. Answers that wait for their reader, and what arrives in these moments, must
+        # not be lost to sockets that the end of the process closes over unread bytes.
+        self.reactor.callLater(max(0.0, self.setup.stop / 1_000_000 - PART), self.guarded, self.part)
         self.repeat(self.drained, BETWEEN)
 
     def shut_door(self) -> None:
         self.shut = True
         self.guarded(self.callers.farewell)
         if self.port is not None:
-            self.guarded(lambda: close_listener(self.port, self.callers))
+            self.guarded(lambda: close_listener(self.port))
+
+    def part(self) -> None:
+        if not self.shut:
+            self.shut_door()
+        self.facade.tick(self.facade.now(), None)  # what this turn of the loop read is answered first
+        self.callers.part()
 
     def drained(self) -> None:
         """Ends when nobody is connected and nothing is open, or just before the kill."""
@@ -380,17 +422,19 @@
     # Timers must not follow Unix time, which may step back and hold them up.
     reactor.seconds = time.monotonic
     log = Log(setup.name)
-    instance = Instance(setup, reactor, log, reread)
+    # What the machine grants may be less than what the file says: the parts are shared out of what there is.
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    most = setup.sockets if hard == resource.RLIM_INFINITY else min(hard, setup.sockets)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    instance = Instance(replace(setup, sockets=most), reactor, log, reread)
     if peers is not None:
         instance.join(peers(setup, reactor, log))
     for notice, taken in instance.notices().items():
         signal.signal(notice, lambda *_, taken=taken: reactor.callFromThread(taken))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one that came meanwhile is taken now
     # Begun, as Twisted keeps 65,536 events for whoever begins later, with all that they hold on to.
     observer: Any = instance.observed
     globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
-    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    most = setup.sockets if hard == resource.RLIM_INFINITY else min(hard, setup.sockets)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
     gc.collect()
     gc.set_threshold(GARBAGE)  # against a look for cycles every few txns; few are made
     gc.freeze()  # what stands now stays; a collection need not look at it again
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -152,8 +152,8 @@
     _m(
         "displace-busy",
         CALLERS,
-        "and not each.open and not each.code]",
-        "and not each.code]",
+        "gone = next((each for each in self.parting if not each.open), None)",
+        "gone = next((each for each in self.connections if self.parting.setdefault(each, 0.0) == 0.0), None)",
         "a full table closes connections with open txns",
     ),
     _m(
@@ -425,8 +425,8 @@
     _m(
         "cold-as-warm",
         FACADE,
-        'self.plain["instance.cold"] = cold',
-        'self.plain["instance.cold"] = False',
+        "self._tell(self.brain.booted, cold, self.now() - ago)",
+        "self._tell(self.brain.booted, False, self.now() - ago)",
         "a cold kernel is taken for a warm one",
     ),
     _m(
--- a/limeridge/sim/reactor.py
+++ b/limeridge/sim/reactor.py
@@ -187,6 +187,7 @@
         self.closed = False  # as the peer's side sees it
         self.reading = True
         self.disconnecting = self.aborting = self.flushing = False
+        self.half_closing = self.half_closed = False
         self.producer: Any = None
         self.producer_paused = False
         self.out: Flow
@@ -249,7 +250,7 @@
     def write(self, data: bytes) -> None:
         if not isinstance(data, bytes):
             raise TypeError(f"Data must be bytes, not {type(data).__name__}")
-        if not self.connected or not data:
+        if not self.connected or not data or self.half_closed:
             return
         if self.reactor.tap is not None:
             self.reactor.tap.wrote(self, data)
@@ -268,7 +269,7 @@
             self.reactor.timeline.at(self.reactor.timeline.now, self.life, "flush", self.flush)
 
     def window_opened(self) -> None:
-        if self.connected and (self.out.buffer or self.disconnecting):
+        if self.connected and (self.out.buffer or self.disconnecting or self.half_closing):
             self._flush_soon()
 
     def flush(self) -> None:
@@ -283,6 +284,9 @@
             self.producer.resumeProducing()
         elif self.disconnecting:
             self._close(error.ConnectionDone(), by_us=True)
+        elif self.half_closing and not self.half_closed:
+            self.half_closed = True
+            self.out.finish()
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         if self.producer is not None:
@@ -307,9 +311,10 @@
             self._flush_soon()
 
     def loseWriteConnection(self) -> None:
-        """Half a close: the peer sees the end of the stream, this end reads on."""
-        if self.connected:
-            self.out.finish()
+        """Half a close: the peer sees the end of the stream behind what was written, this end reads on."""
+        if self.connected and not self.half_closing:
+            self.half_closing = True
+            self._flush_soon()
 
     def abortConnection(self) -> None:
         if self.connected and not self.aborting:
@@ -326,7 +331,7 @@
         """In good order; but what came and was never read makes it a reset for the peer."""
         if self.inn.inbox:
             self.other.reset_soon()
-        else:
+        elif not self.half_closed:
             self.out.finish()
         self._lost(reason, by_us)
 
@@ -376,7 +381,8 @@
         self.forget()
         if not was:
             if in_order and not unread:
-                self.out.finish()
+                if not self.half_closed:
+                    self.out.finish()
             else:
                 self.other.reset_soon()
 
@@ -446,6 +452,10 @@
     def loseConnection(self) -> None:
         self.stopListening()
 
+    def connectionLost(self, _: object) -> None:
+        """What the real one is told a turn later; told at once, it closes at once."""
+        self.stopListening()
+
     def close(self) -> None:
         self.open = False
         network = self.reactor.network
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,6 +9,7 @@
 
 import orjson
 from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -355,8 +356,19 @@
 class Wire(StringTransport):
     """A transport in memory; the peer reads when `sent` is called."""
 
+    no_delay = half_closed = False
+    before_no_delay = b""
+
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
         self.no_delay = on
+        self.before_no_delay = self.value()
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Our end of the stream; what the peer sends is read on."""
+        self.half_closed = self.disconnecting = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self.producerState = "producing"
 
     def sent(self) -> bytes:
         data = self.value()
@@ -372,7 +384,7 @@
     def listenTCP(self, *args: Any) -> Any:  # noqa: N802
         """The listening socket as a drain sees it: nobody is in its backlog."""
         return SimpleNamespace(socket=SimpleNamespace(listen=lambda most: None), doRead=lambda: None,
-                               stopListening=lambda: None)
+                               connectionLost=lambda why: None)
 
     def listenUDP(self, port: int, protocol: Any, interface: str = "") -> None:  # noqa: N802
         def write(data: bytes, address: tuple[str, int]) -> None:
@@ -461,7 +473,11 @@
 
     def caller(self) -> Any:
         connection = self.instance.callers.buildProtocol(None)
-        connection.makeConnection(Wire())
+        transport = Wire()
+        if connection is None:  # closed at once, as the real port does
+            transport.abortConnection()
+            connection = Protocol()
+        connection.makeConnection(transport)
         return connection
 
     def ask(self, caller: Any, number: int, method: str = "look", **more: Any) -> str:
