Hold a cold start's welcome under its ramp, and a restart's calls under one share

Need: what a cold instance tells its callers has to add up to what it can do at that moment of its ramp, and what cold ones together send to the ledger to its limit.

- _speak let the welcome grow by half at each telling while no line stood, so a cold instance that few came to told 1.0 after a second, with a quarter of its speed.
It now stays under the ramp that the settings give.
- The allowance went by the number of callers in the settings.
Callers heard lately count as well, one that turns up is told of at once, and all together never more than the crowd that is survived then.
- A restarted instance with a share under one call began with an empty window, though its life before may have used a share in it: thirty restarted at once sent up to twice the limit.
A cold start counts the part of the window before it as used.
- booted() tells the kernel's word to the brain that is there.
A request that came before it kept the brain from being made anew, and with it a cold kernel was taken for a warm one for good (facade.boot).

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -58,6 +58,7 @@
 IDLE_LIMITS = (250_000, 1_000_000, 4_000_000, 15_000_000)
 STORM = 10  # asking for a core besides runs, per core, from which new connections are too many
 CALLERS_KEPT = 512
+HEEDED = 1_000_000  # how long a caller keeps to what it was told, where the settings do not say
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
 INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -139,7 +140,8 @@
     """One instance's decisions."""
 
     def __init__(self, settings: Mapping[str, Any], seed: int, now: int) -> None:
-        self.settings, self.now, self.born = settings, now, now
+        self.settings, self.now, self.born, self.started = settings, now, now, now
+        self.cold: bool = settings.get("instance.cold", True)
         self.chance = random.Random(seed)
         self.products = [Product(settings, i) for i in range(settings.get("products.count", 0))]
         self.cores: int = settings.get("instance.cores", 1)
@@ -155,9 +157,9 @@
         self.wake_at: int | None = None
         self.leave_at: int | None = None
         self.stop_at: int | None = None
-        self.welcome = settings.get("rules.cold_from", 0.2) if settings.get("instance.cold") else 1.0
+        self.welcome = self._warmth() if settings.get("instance.cold") else 1.0
         self.speak_at, self.turned_away, self.read, self.unread, self.behind = now, 0, 0, 0.0, 0
-        self.healthy, self.said, self.tries, self.later = False, -1.0, 0.0, 0.0
+        self.healthy, self.said, self.tries, self.later, self.unmet = False, -1.0, 0.0, 0.0, False
         self.call_most, self.call_floor = self._bounds(float(settings.get("instance.calls_out", 0.5)))
         self.call_cap, self.calls_bound = self.call_floor, False
         self.short, self.short_at = 0.0, now - CALL_STALE  # the loss of a call that lately found no room
@@ -178,6 +180,13 @@
         self.call_most, self.call_floor = float(calls), max(min(1.0, calls), CALL_FLOOR * calls)
         self.call_cap = min(max(self.call_cap, self.call_floor), self.call_most)
 
+    def booted(self, now: int, cold: bool, born: int) -> None:
+        """The machine came up at `born`, and says whether cold: its speed grows from then on. What was read
+        before stays as it is."""
+        self.now, self.cold, self.born = now, cold, born
+        self.welcome = min(self.welcome, self._warmth()) if cold else 1.0
+        self.speak_at = now
+
     def arrived(self, now: int, ref: int, product: int, customer: int = 0, caller: int = 0, patience: int = 0,
                 age: int = 0, size_kb: float = 0.0, resent: bool = False, prior: Txn | None = None,
                 repeat: bool = False, effort: int = 0) -> Txn:
@@ -196,7 +205,8 @@
         txn.over_share = self._over_share(txn)
         self.books.enter(txn)
         kind.asked, self.read = kind.asked + 1, self.read + 1
-        self.absences.add(self.callers.absence(caller, now))
+        self.absences.add(absence := self.callers.absence(caller, now))
+        self.unmet = self.unmet or absence == float("inf")
         self.tries, self.later = self.tries * 0.99 + 1, self.later * 0.99 + resent
         self.unread = age / kind.sla_time
         self.behind = self.behind + 1 if self.unread > (TARGET if self.stuck else STUCK) else 0
@@ -304,6 +314,8 @@
         yield from self._run_held()
         if now >= self.speak_at:
             yield from self._speak()
+        elif self.unmet and self._warmth() < 1:
+            yield from self._tell()
         awake = self.books.dues or self.stuck or self.welcome < 1 or self.leave_at is not None
         if awake and self.wake_at is None:
             self.wake_at = now + TICK
@@ -467,27 +479,37 @@
     def _speak(self) -> Iterator[Decision]:
         """The free value: callers that heed it stay away before they cost a reading."""
         self.speak_at = self.now + SPEAK
-        how = self.settings.get("instance.say", "none")
-        top = 4.0 if how == "allowance" else 1.0
+        top = 4.0 if self.settings.get("instance.say", "none") == "allowance" else 1.0
         if self.turned_away:
             self.welcome *= 1 - 0.5 * min(1.0, self.turned_away / (self.read + 1))
         elif self.unread > TARGET:
             self.welcome *= 0.9  # against a line at the door, which no decline shows
         elif not any(line for kind in self.products for line in kind.lines):
             self.welcome = min(top, self.welcome * (1.5 if self.busy < FULL_CORES else 1.1))
-        self.welcome = max(WELCOME_FLOOR, self.welcome)
+        # Against a cold start that looks idle as few come, and then gets more than it can do yet.
+        self.welcome = min(max(WELCOME_FLOOR, self.welcome), top * self._warmth())
         # Against a line at the door never caught up: all it holds is late; bad health and a value of 0 lose
         # none until a read shows it is, or cores are idle. It could harm where reading hangs for a moment.
         self.behind = self.behind if self.runnable >= 1 else 0
         self.stuck = self.behind >= self.cores
         self.turned_away, self.read, self.unread = 0, 0, 0.0
         yield from self._limit_idle()
+        yield from self._tell()
+
+    def _tell(self) -> Iterator[Decision]:
+        """What each caller may do, so that it adds up to the welcome over all that are told."""
+        how, self.unmet = self.settings.get("instance.say", "none"), False
         # Callers hear of a successor late, and it is cold: for half of the grace they may come as before.
         stay = self.settings.get("rules.drain_grace", 0) // 2
         parting = self.leave_at is not None and self.now >= self.leave_at + stay
         level = 0.0 if parting or self.stuck else self.welcome
         if how == "allowance":
-            level *= ALLOWED * self.cores / max(1, self.settings.get("instance.callers", 1))
+            # Against more callers than the settings know of: each is told its part of what all may have out.
+            told = self.callers.lately(self.now, self.settings.get("instance.heeded", HEEDED))
+            level *= ALLOWED * self.cores
+            if self._warmth() < 1:
+                level = min(level, CROWD_SHARE * self._crowd())
+            level /= max(1, self.settings.get("instance.callers", 1), told)
         elif how == "floor":
             level = min(0.99, 1.0 - level)
         elif how != "weight":
@@ -526,12 +548,15 @@
 
     def _crowd(self) -> float:
         """Rule 4: the crowd survived, at the lowest speed that a cold start can have by now."""
-        speed = 1.0
-        if self.settings.get("instance.cold", True):
-            ramp = max(1, self.settings.get("rules.ramp_time", 30_000_000))
-            begin = self.settings.get("rules.cold_from", 0.1)
-            speed = min(1.0, begin + (1 - begin) * (self.now - self.born) / ramp)
-        return float((1 + (self.settings.get("rules.overload_factor", 2.0) - 1) * speed) * self.cores)
+        survived = self.settings.get("rules.overload_factor", 2.0) - 1
+        return float((1 + survived * self._warmth()) * self.cores)
+
+    def _warmth(self) -> float:
+        if not self.cold:
+            return 1.0
+        begin = self.settings.get("rules.cold_from", 0.1)
+        ramp = max(1, self.settings.get("rules.ramp_time", 30_000_000))
+        return float(min(1.0, begin + (1 - begin) * (self.now - self.born) / ramp))
 
     def _room(self) -> float:
         return float(MEMORY_SHARE * self.settings.get("instance.memory_kb", 1e9) - self.books.memory)
@@ -547,6 +572,8 @@
         # A share under one call: the mean over the window must still hold if every call runs to its time-out.
         room = int(self.call_cap * self.calls.window)
         spare = room - self.calls.time_taken(self.now) - self.calls.linger
+        if self.cold:  # against a restart's second share: the life before may have used one in this window
+            spare -= int(room * max(0.0, 1 - (self.now - self.started) / self.calls.window))
         # Against calls cut off before a slow answer can come, which cost room and linger for nothing: what
         # was cut off counts as a call of that length, so the least time-out doubles until answers come.
         least = max(TICK, int(CALL_SLACK * kind.call_times.quantile(0.9) * kind.sla_time))
--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -81,6 +81,7 @@
     "familyInfo.classSkipWorth.N": (FLOAT, 0, 1e9, False),
     "familyInfo.gauges": (LIST, 0, 64, False),
     "familyInfo.gauges.N": (TEXT, 1, 64, False),
+    "familyInfo.heeded": (INT, 0, YEAR, False),
     "familyInfo.idle": (INT, 0, YEAR, False),
     "familyInfo.justStarted": (BOOL, 0, 0, False),
     "familyInfo.kbPerKey": (FLOAT, 0, 1e12, False),
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -20,7 +20,7 @@
 from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
 from limeridge.words import GAUGES
 
-RESULTS_KEPT = 8 << 20  # bytes of results kept for repeats; the oldest go first, their keys stay
+RESULTS_KEPT = 8 << 20  # bytes of results kept for repeats at the most; the oldest go first, their keys stay
 RESULT_TAKES = 2_000  # bytes that a kept txn takes besides its result
 OVERDUE = 20_000  # past the due time the guard answers what the brain did not, against a defect there
 RECOVER = 0.05  # seconds after a defect until the brain is asked again
@@ -149,7 +149,7 @@
     """`wake` is called when the brain wants a tick; who gets it calls `tick` soon, with gauges if it can."""
 
     def __init__(self, plain: Mapping[str, Any], seed: int, clock: Any, log: LogSink,
-                 wake: Callable[[], None]) -> None:
+                 wake: Callable[[], None], results_most: int = RESULTS_KEPT) -> None:
         self.plain, self.seed, self.clock, self.log, self.wake = dict(plain), seed, clock, log, wake
         self.gauges = [GAUGES.get(name, name) for name in str(plain.get("instance.gauges", "")).split(",")]
         self.healthy = False
@@ -163,7 +163,7 @@
         self.keyed: dict[int, Entry] = {}
         self.prune_at = 256
         self.results: OrderedDict[Entry, int] = OrderedDict()
-        self.results_size = 0
+        self.results_size, self.results_most = 0, results_most
         self.timer: Any = None
         self.pulling = False
         self.soon: Any = None  # the timer of the next asking
@@ -179,14 +179,7 @@
 
     def boot(self, cold: bool, ago: int) -> None:
         """The kernel came up `ago` microseconds ago: its speed grows from then on, not from our own start."""
-        if self.serial:
-            return
-        self.plain["instance.cold"] = cold
-        self.brain = Brain(self.plain, self.seed, self.now() - ago)
-        if self.allowed is not None:
-            self.brain.share(self.now(), self.allowed)
-        self.brain.woke(self.now(), 0, {})
-        self._cancel_timer()
+        self._tell(self.brain.booted, cold, self.now() - ago)
         self._pull()
 
     def pick(self, intake: Intake) -> Deferred[Step]:
@@ -441,7 +434,7 @@
         entry.result = doc
         self.results[entry] = len(doc) + RESULT_TAKES
         self.results_size += len(doc) + RESULT_TAKES
-        while self.results_size > RESULTS_KEPT:
+        while self.results_size > self.results_most:
             oldest, size = self.results.popitem(last=False)
             self.results_size -= size
             oldest.result = None  # its repeats are voided from now on: it ran
--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -76,6 +76,13 @@
             self.waits.pop(oldest, None)
         return math.inf if before is None else now - before
 
+    def lately(self, now: int, span: int) -> int:
+        """How many were heard within the span; where the table holds no more, by how fast it filled."""
+        known = sum(now - at <= span for at in self.heard.values())
+        if known < self.most:
+            return known
+        return known * span // max(1, now - next(iter(self.heard.values())))
+
     def usual(self, caller: int, product: int, patience: int, alike: int) -> int:
         """The patience that most tries of this caller and product came with, by majority vote."""
         waits = self.waits.setdefault(caller, {})
