--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import binascii
+import heapq
 import time
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -518,22 +519,26 @@
         """Against a table full of connections that say nothing, or rest: a newcomer takes the place of one.
         Those that say nothing never fill it, so that usual callers keep theirs. One that rests hears a
         farewell and keeps its descriptor for a while, from the places that are kept for this."""
-        crowded = len(self.connections) - len(self.parting) >= self.most - self.most // PARTING
+        spare = self.most - self.most // PARTING - (len(self.connections) - len(self.parting))
         oldest = next(iter(self.strangers), None)
-        if ((crowded or len(self.strangers) * STRANGERS >= self.most) and oldest is not None
+        if ((spare <= 0 or len(self.strangers) * STRANGERS >= self.most) and oldest is not None
                 and self._cut_short(oldest, self.strangers[oldest])):
             return True
-        if len(self.connections) >= self.most:
-            gone = next((each for each in self.parting if not each.open), None)
-            return gone is not None and self._cut_short(gone, self.parting[gone])
-        if crowded:
-            resting = [each for each in self.connections if each not in self.strangers
-                       and not each.open and not each.code and each.farewell_at is None]
-            longest = min(resting, key=lambda each: each.heard, default=None)
-            if longest is not None and self._settled(longest.heard):
-                longest.say_farewell()
-                self.parting[longest] = self.clock.seconds()
-        return True
+        if spare <= 0:  # more than one where a rush took the kept places: they are to be there for the next
+            self._part_resting(1 - spare)
+        if len(self.connections) < self.most:
+            return True
+        gone = next((each for each in self.parting if not each.open), None)
+        return gone is not None and self._cut_short(gone, self.parting[gone])
+
+    def _part_resting(self, count: int) -> None:
+        resting = [each for each in self.connections if each not in self.strangers
+                   and not each.open and not each.code and each.farewell_at is None]
+        for longest in heapq.nsmallest(count, resting, key=lambda each: each.heard):
+            if not self._settled(longest.heard):
+                return
+            longest.say_farewell()
+            self.parting[longest] = self.clock.seconds()
 
     def _settled(self, since: float) -> bool:
         """False where it was heard, made or bidden farewell a moment ago: it stays."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -54,8 +54,8 @@
                 break
             self.data += data
             if not data:
-                # A reset behind the end is seen by who looks for it alone, but it is one: on another machine, or
-                # with bytes still on their way, it takes them along.
+                # A reset behind the end is seen by who looks for it alone, but it is one: with bytes still on
+                # their way, it takes them along.
                 late = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
                 self.end = "reset" if late else "end"
         return self
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -608,6 +608,93 @@
         return probe.connect_ex((host, int(port))) == 0
 
 
+# ---- descriptors
+
+
+def descriptors(p: Process) -> int:
+    return len(list(Path(f"/proc/{p.child.pid}/fd").iterdir()))
+
+
+def processor_seconds(p: Process) -> float:
+    fields = Path(f"/proc/{p.child.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def newcomer(p: Process) -> CallerEnd:
+    """As a usual caller comes: one that is turned away at the door comes again."""
+    found: list[CallerEnd] = []
+
+    def heard() -> bool:
+        if not found or found[-1].pump().end:
+            with suppress(OSError):
+                found.append(p.caller())
+                found[-1].check()
+        return bool(found and found[-1].by_id())
+
+    p.until("a place for a usual caller", heard)
+    assert len(found) < 20, "turned away again and again"
+    return found[-1]
+
+
+@pytest.mark.skipif(not Path("/proc/self/stat").exists(), reason="looks at /proc")
+@pytest.mark.parametrize("says", ["nothing", "checks", "half a message"])
+def test_idle_clients_may_fill_the_descriptors_while_the_list_is_down(says: str, tmp_path: Path) -> None:
+    """Requests of usual callers, the kernel's link and its relink, calls and reports still find theirs."""
+    with process(tmp_path, limits={"sockets": 96}) as p:
+        usual = p.caller()
+
+        def served(caller: CallerEnd) -> None:
+            ref, done = caller.ask("book", k=f"key {caller.next_id}"), False
+
+            def answered() -> bool:
+                nonlocal done
+                if not done and ref in [c["handle"] for c in p.kernel.commands("SCHED")]:
+                    done = True
+                    p.kernel.note(event="IOREQ", handle=ref, arg="Y2FsbA==")
+                    call = Far(p.ledgers.accept()[0])
+                    p.until("the call", lambda: call.pump().data.endswith(b"call"))
+                    call.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nreply")
+                    p.until("the reply", lambda: ref in [c["handle"] for c in p.kernel.commands("IODONE")])
+                    p.kernel.done(ref)
+                return caller.next_id in caller.by_id()
+
+            p.until("an answer", answered)
+            assert "result" in caller.by_id()[caller.next_id]
+
+        served(usual)
+        before = descriptors(p)
+        idle = []
+        for number in range(250):
+            with suppress(OSError):
+                client = p.caller()
+                idle.append(client)
+                with suppress(OSError):  # it was turned away
+                    if says == "checks":
+                        client.check()
+                    elif says == "half a message":
+                        client.write(b"Content-Le")
+            if number % 25 == 0:
+                assert descriptors(p) <= 96
+        if not usual.pump().end and not usual.said_farewell():
+            served(usual)
+        served(newcomer(p))
+        p.kernel.reset()  # the link breaks while the table is full
+        cursor = p.kernel.cursor
+        p.boot()
+        p.kernel.cursor = cursor
+        served(newcomer(p))
+        p.roster.settimeout(MOST)
+        begun = processor_seconds(p)
+        for _ in range(5):  # a report each 0.3 s, also with nobody there to list it
+            assert p.roster.recv(100).split() == [b"HERE", b"n1", b"on"]
+        assert processor_seconds(p) - begun < 1.0, "it spins"
+        assert p.told().count(b"\n") < 400, "a flood of lines"
+        for client in idle:
+            client.close()
+        p.until("the idle to be forgotten", lambda: descriptors(p) <= before + 8)
+        served(p.caller())
+
+
 # ---- repeats
 
 
