--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -444,12 +444,12 @@
         """Half a close: our end of the stream goes out behind what is still unsent, and what comes meanwhile
         is read and dropped up to the peer's own end. Against a close over unread bytes, which is a reset and
         takes answers on their way with it."""
-        if self.code:
-            return
-        self.code, self.closed_at = code, self.callers.clock.seconds()
-        if abort:
+        closing, self.code = bool(self.code), self.code or code
+        if abort:  # also where it is being closed by halves
             self.transport.abortConnection()
+        if abort or closing:
             return
+        self.closed_at = self.callers.clock.seconds()
         self.transport.unregisterProducer()
         for data in self.clear_backlog():
             self.transport.write(data)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -118,6 +118,19 @@
     assert caller.transport.disconnected
 
 
+def test_one_that_is_being_closed_and_has_to_make_room_is_cut_and_not_forgotten() -> None:
+    net = Net(limits={"sockets": 128})
+    net.boot()
+    callers = net.instance.callers
+    silent = [net.caller() for _ in range(callers.most)]
+    net.pass_time(2.3)
+    assert all(each.transport.half_closed and not each.transport.disconnected for each in silent)
+    newcomer = net.caller()
+    assert newcomer in callers.connections
+    [cut] = [each for each in silent if each not in callers.connections]
+    assert cut.transport.disconnected, "out of the table, and its descriptor held for ever"
+
+
 def test_a_resting_connection_that_gives_way_hears_a_farewell_and_what_crosses_it_is_served() -> None:
     with stepped(limits={"sockets": 64}) as s:
         callers = s.instance.callers
