Let one stub in three rest until it is ended, in the simulation too

Need: some callers do not close what they are bidden to, and the closes of the drain and of idle connections were only played against ones that do.

--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -434,7 +434,8 @@
 
     def stub(self, number: int) -> Stub:
         caller = self.plan.callers[number]
-        habit = Habit(caller.tries, caller.heeds, caller.sticky, caller.hedges)
+        # One in three rests until it is ended, whatever it was bidden: no draw of its own, so plans stay.
+        habit = Habit(caller.tries, caller.heeds, caller.sticky, caller.hedges, rests=number % 3 == 2)
         names = tuple(machine.name for machine in self.machines)
         made = Stub(
             self.stub_reactors[number],
--- a/limeridge/standins/callers.py
+++ b/limeridge/standins/callers.py
@@ -33,6 +33,7 @@
     sticky: float = 0.3
     hedges: float = 0.0  # share of inquiry-like txns sent to two nodes at once
     pause: float = 0.01  # seconds between tries
+    rests: bool = False  # keeps its connections until the node ends them
 
 
 @dataclass(slots=True, frozen=True)
@@ -116,7 +117,7 @@
         self.rest()
 
     def rest(self) -> None:
-        if self.leaving and not self.open and self.stands:
+        if self.leaving and not self.open and self.stands and not self.stub.habit.rests:
             self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
