Serve no request under the key of another: body and tenant must be the same

Followed: a probe in Facade._join wrote down each pair that shares a result; all came with the same key, class, caller, size and tenant and another body. Ruled out: frames, ids used twice and ref in use (they are answered as errors), the kernel (it never saw those requests).

At fault: Facade._prior, which took a key alone for the request. A key that stands for another body or another tenant is now answered with an error, neither served nor run; a start that the kernel refuses as unknown never began, so its key stays free for its owner. The tests fail without it; the test host gave each repeat a body of its own, which no caller does, and now gives it the one of its key.

--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -185,6 +185,10 @@
     def pick(self, intake: Intake) -> Deferred[Step]:
         """Waits until the txn may run (RUN) or needs nothing more (DONE): its answer went out by then."""
         now = self.now()
+        if self._misused(intake, now):
+            self.log.event("bad-message", "key of another request")
+            intake.answer(Answer(Kind.VOIDED, why="key of another request"))
+            return succeed(Step(Do.DONE))
         self.serial += 1
         prior = self._prior(intake, now)
         try:
@@ -400,17 +404,30 @@
                 self._keep_result(entry, news.doc)
         else:
             self._final(entry, Answer(Kind.VOIDED, why=f"run {news.end.value}"))
+            if news.end is End.NEVER_BEGAN and entry.intake.key:
+                self._forget(entry)
         self.brain.ended(now, entry.txn, OUTCOMES[news.end], 0)
         self.ready_joins += entry.joined
         entry.joined = []
 
     # ---- keys, repeats, results
 
+    def _tries(self, intake: Intake, now: int) -> list[Entry]:
+        """All known tries under its key; kept ones count by when this one landed, not by when it is read."""
+        if not intake.key:
+            return []
+        return [entry for entry, until in self.keys.get((intake.product, intake.key), [])
+                if entry.txn.stage is not Stage.OVER or until > now - intake.age]
+
+    def _misused(self, intake: Intake, now: int) -> bool:
+        """Whether its key stands for another request, which has another body or tenant: no repeat, so it must
+        not get that one's result; under a key that is taken it must not run either."""
+        return any((entry.intake.doc, entry.intake.customer) != (intake.doc, intake.customer)
+                   for entry in self._tries(intake, now))
+
     def _prior(self, intake: Intake, now: int) -> Entry | None:
-        """The try that this one repeats: one that ran first of all, or one that is open here; kept ones count
-        by when this one landed, not by when it is read."""
-        tries = [entry for entry, until in self.keys.get((intake.product, intake.key), [])
-                 if entry.txn.stage is not Stage.OVER or until > now - intake.age] if intake.key else []
+        """The try that this one repeats: one that ran first of all, or one that is open here."""
+        tries = self._tries(intake, now)
         return next((entry for entry in tries if entry.txn.ran), tries[-1] if tries else None)
 
     def _remember(self, entry: Entry, until: int) -> None:
@@ -430,6 +447,11 @@
                 self.results_size -= self.results.pop(old)
             self.prune_at = 2 * len(self.keyed) + 256
 
+    def _forget(self, entry: Entry) -> None:
+        """It never began: its key is free for the request that it belongs to."""
+        key = (entry.intake.product, entry.intake.key)
+        self.keys[key] = [each for each in self.keys.get(key, []) if each[0] is not entry]
+
     def _keep_result(self, entry: Entry, doc: str) -> None:
         entry.result = doc
         self.results[entry] = len(doc) + RESULT_TAKES
--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -412,7 +412,9 @@
 
     def _invalid(self, command: str, handle: str) -> None:
         """A reply sent again may have been taken before: then it proves nothing about the run. A start can't
-        be refused for that: a run that goes on already is no fault."""
+        be refused for that: a run that goes on already is no fault. One that is refused the first time never
+        began: the kernel knows no such request."""
         if command == "SCHED" or handle not in self.resent:
+            never = command == "SCHED" and handle not in self.resent
             self.over(handle)
-            self.service.heard(handle, Ended(End.FAILED))
+            self.service.heard(handle, Ended(End.NEVER_BEGAN if never else End.FAILED))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -278,7 +278,7 @@
         self.keys[ref] = key or f"own-{ref}"
         self.intakes[ref] = Intake(
             f"{ref:016x}", "look", product, 0, told["caller"], age, told["patience"], told["size_kb"],
-            f"body {ref}", lambda answer: self.hear(ref, answer), told["resent"], key=key)
+            f"body {key or ref}", lambda answer: self.hear(ref, answer), told["resent"], key=key)
         self.watch(ref, self.facade.pick(self.intakes[ref]))
         return self.txns[ref - 1]
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -724,6 +724,43 @@
         assert len(s.kernel.commands("SCHED")) == 1
 
 
+@pytest.mark.parametrize("open_still", [True, False])
+@pytest.mark.parametrize("other", [{"doc": "b3RoZXI="}, {"t": "acme east"}])
+def test_a_key_that_comes_with_another_body_or_tenant_gets_neither_a_result_nor_a_run(
+        other: dict[str, Any], open_still: bool) -> None:
+    """As bad clients send it: what is served to them is lost to whoever owns it."""
+    accounts = [*SAMPLE["settings"]["accounts"], {"name": "acme east"}]
+    net = Net(settings=SAMPLE["settings"] | {"accounts": accounts})
+    net.boot()
+    caller, bad = net.caller(), net.caller()
+    ref = net.ask(caller, 1, "book", k="acct-1")
+    net.commands()
+    if open_still:
+        net.ask(bad, 1, "book", k="acct-1", **other)
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="b25l")
+    if not open_still:
+        net.ask(bad, 1, "book", k="acct-1", **other)
+    [answer] = net.answers(bad)
+    assert answer["error"]["message"] == "key of another request" and answer["error"]["code"] == -32000
+    assert net.commands() == [] and net.log.codes("bad-message") == ["key of another request"]
+    net.ask(caller, 2, "book", k="acct-1", r=1)
+    assert [a["result"]["doc"] for a in net.answers(caller)] == ["b25l"] * 2, "its own repeats are as before"
+
+
+def test_a_key_first_used_by_one_that_the_kernel_does_not_know_is_free_for_its_owner() -> None:
+    net = Net()
+    net.boot()
+    bad, caller = net.caller(), net.caller()
+    forged = net.ask(bad, 1, "book", k="acct-1", doc="b3RoZXI=")
+    net.commands()
+    net.tell(event="EINVAL", fate="SCHED", handle=forged)
+    assert net.answers(bad)[0]["error"]["code"] == -32000
+    ref = net.ask(caller, 1, "book", k="acct-1")
+    assert [c["handle"] for c in net.commands()] == [ref]
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="b25l")
+    assert net.answers(caller)[0]["result"]["doc"] == "b25l"
+
+
 def test_a_repeat_after_its_first_try_was_taken_back_joins_the_run_that_goes_on() -> None:
     with stepped() as s:
         caller, ours = s.standing()
