--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -370,18 +370,20 @@
         self.reactor.callLater(stay / 1_000_000, self.shut_door)
         # All is answered by then. Answers that wait for their reader, and what arrives in these moments, must
         # not be lost to sockets that the end of the process closes over unread bytes.
-        self.reactor.callLater(max(0.0, self.setup.stop / 1_000_000 - PART), self.guarded, self.part)
+        stop = self.setup.stop / 1_000_000  # of a short one half is left for what lies unread at the notice
+        self.reactor.callLater(max(stop - PART, stop / 2), self.guarded, self.part)
         self.repeat(self.drained, BETWEEN)
 
     def shut_door(self) -> None:
+        if self.shut:
+            return
         self.shut = True
         self.guarded(self.callers.farewell)
         if self.port is not None:
             self.guarded(lambda: close_listener(self.port))
 
     def part(self) -> None:
-        if not self.shut:
-            self.shut_door()
+        self.shut_door()
         self.facade.tick(self.facade.now(), None)  # what this turn of the loop read is answered first
         self.callers.part()
 
@@ -424,9 +426,13 @@
     log = Log(setup.name)
     # What the machine grants may be less than what the file says: the parts are shared out of what there is.
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    most = setup.sockets if hard == resource.RLIM_INFINITY else min(hard, setup.sockets)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
-    instance = Instance(replace(setup, sockets=most), reactor, log, reread)
+
+    def granted(setup: Setup) -> Setup:
+        return setup if hard == resource.RLIM_INFINITY else replace(setup, sockets=min(hard, setup.sockets))
+
+    setup = granted(setup)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (setup.sockets, hard))
+    instance = Instance(setup, reactor, log, lambda: granted(reread()))
     if peers is not None:
         instance.join(peers(setup, reactor, log))
     for notice, taken in instance.notices().items():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -310,6 +310,18 @@
     assert stopped
 
 
+def test_a_notice_with_hardly_any_time_shuts_the_door_once() -> None:
+    with stepped(stop_ms=100) as s:
+        caller, _ = s.standing()
+        s.served(caller)
+        caller.ask()
+        s.instance.leave()
+        s.until("the end of the stream", lambda: caller.answers() and caller.end)
+        assert caller.end == "end" and caller.by_id()[2]["error"]["code"] == -32008
+        s.until("the process's own end", lambda: s.ended)
+        assert not [line for line in s.log.lines if line["event"] == "service-fault"]
+
+
 def test_a_notice_to_leave_while_the_address_is_still_held_ends_the_process_and_listens_no_more() -> None:
     net = Net()
     tried: list[int] = []
