--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -720,6 +720,33 @@
         served(p.caller())
 
 
+def test_what_the_machine_grants_is_shared_out_and_not_what_the_file_says(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_bytes(orjson.dumps(SAMPLE | {"listen": address(bound())}))
+    with (tmp_path / "log").open("wb") as log:
+        child = subprocess.Popen(["/bin/sh", "-c", f"ulimit -n 64 && exec {sys.executable} -m limeridge"],
+                                 stdout=log, stderr=log, cwd=ROOT,
+                                 env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "config.json")})
+    try:
+        until("the line of its start", lambda: b'"start"' in (tmp_path / "log").read_bytes())
+        assert SAMPLE["limits"]["sockets"] == 1_024
+        assert b'"sockets":64' in (tmp_path / "log").read_bytes().splitlines()[0]
+    finally:
+        child.kill()
+        child.wait()
+
+
+def test_results_kept_for_repeats_take_no_more_than_their_part_of_a_small_memory() -> None:
+    net = Net(limits={"memory_mb": 16})
+    net.boot()
+    caller, doc = net.caller(), "A" * 20_000
+    for number in range(1, 500):
+        ref = net.ask(caller, number, "book", k=f"key {number}")
+        net.commands()
+        net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg=doc)
+        net.answers(caller)
+    assert 1 << 20 < net.instance.facade.results_size <= 2 << 20
+
+
 # ---- repeats
 
 
