Read what lies unread at the parting in one more turn before the streams end

With a pause forced between the notice and the next turn the test of a short notice fails each time: the parting came due in the turn that would have read the request, and the request was dropped. Now the streams end a turn later.

--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -383,7 +383,11 @@
             self.guarded(lambda: close_listener(self.port))
 
     def part(self) -> None:
+        """What lies unread now is read in this turn yet; then the streams are ended."""
         self.shut_door()
+        self.reactor.callLater(0, self.guarded, self.end_streams)
+
+    def end_streams(self) -> None:
         self.facade.tick(self.facade.now(), None)  # what this turn of the loop read is answered first
         self.callers.part()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -316,6 +316,8 @@
         s.served(caller)
         caller.ask()
         s.instance.leave()
+        while s.reactor.seconds() < s.instance.kill_at - 0.04:  # a pause: all is due at once
+            pass
         s.until("the end of the stream", lambda: caller.answers() and caller.end)
         assert caller.end == "end" and caller.by_id()[2]["error"]["code"] == -32008
         s.until("the process's own end", lambda: s.ended)
