--- a/tests/test_configuration_tables.py
+++ b/tests/test_configuration_tables.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from limeridge.configuration.columns import PAGE_SIZE
+from limeridge.configuration.names import NUMBERS_MOST
 from limeridge.configuration.tenants import (
-    NUMBERS_MOST,
-    PAGE_SIZE,
     DuplicateTenant,
     TenantFault,
     TenantTable,
@@ -94,7 +94,7 @@
 
 def test_numbers_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     assert NUMBERS_MOST >= 1_000_000
-    monkeypatch.setattr("limeridge.configuration.tenants.NUMBERS_MOST", 3)
+    monkeypatch.setattr("limeridge.configuration.names.NUMBERS_MOST", 3)
     table = built({"a": 1}, built({"a": 1, "b": 1, "c": 1}), now=10)
     with pytest.raises(
         TooManyTenants, match=r"tenants.1: expected at most 3 tenants, 2 that went among them"
@@ -156,16 +156,16 @@
     editor = TenantTableEditor(table, now=1)
     editor.put("tenant-5", 2.0)
     after = editor.build()
-    shared = [old is new for old, new in zip(table._quota_pages, after._quota_pages, strict=True)]
+    shared = [old is new for old, new in zip(table._quotas, after._quotas, strict=True)]
     assert shared == [False] + [True] * 9
-    assert all(old is new for old, new in zip(table._name_pages, after._name_pages, strict=True))
-    assert all(old is new for old, new in zip(table._shards, after._shards, strict=True))
+    assert all(old is new for old, new in zip(table._names.pages, after._names.pages, strict=True))
+    assert all(old is new for old, new in zip(table._names.shards, after._names.shards, strict=True))
 
 
 def size_of(table: TenantTable) -> int:
     """Bytes of all that hangs on the table."""
-    names = sum(getsizeof(page) + getsizeof(page.blob) + getsizeof(page.ends) for page in table._name_pages)
-    return names + sum(map(getsizeof, table._quota_pages)) + sum(map(getsizeof, table._shards))
+    names = sum(getsizeof(page) + getsizeof(page.blob) + getsizeof(page.ends) for page in table._names.pages)
+    return names + sum(map(getsizeof, table._quotas)) + sum(map(getsizeof, table._names.shards))
 
 
 def test_240_000_tenants_fit_and_no_step_is_long() -> None:
