Add the table of routes: longest prefix of whole elements over the index of names

Nothing led from a path to a class. Prefixes lie in the same pages and index as tenants' names, classes in a column; a path is tried from the depth of the deepest prefix upwards, an index look-up an element. A prefix that stands twice is refused, with the entry. 69,000 routes of three elements take under 8 MB by the sizes of all parts.

--- a/limeridge/configuration/names.py
+++ b/limeridge/configuration/names.py
@@ -232,6 +232,24 @@
             slot = (slot + 1) & mask
 
 
+class NumberSet:
+    """Numbers from 0 on, a byte each."""
+
+    def __init__(self) -> None:
+        self._marks = bytearray()
+
+    def __contains__(self, number: int) -> bool:
+        return number < len(self._marks) and self._marks[number] == 1
+
+    def add(self, number: int) -> bool:
+        """False where it is there already."""
+        if number >= len(self._marks):
+            self._marks.extend(bytes(number + 1 - len(self._marks)))
+        was_there = self._marks[number] == 1
+        self._marks[number] = 1
+        return not was_there
+
+
 def _insert(shard: array[int], entry: int) -> None:
     mask = len(shard) - 1
     slot = (entry >> NUMBER_BITS) & mask
--- a/limeridge/configuration/tenants.py
+++ b/limeridge/configuration/tenants.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from limeridge.configuration.columns import PAGE_BITS, PAGE_MASK, PAGE_SIZE, ColumnEditor
-from limeridge.configuration.names import IndexFull, NameTable, NameTableEditor
+from limeridge.configuration.names import IndexFull, NameTable, NameTableEditor, NumberSet
 
 NAME_MOST = 256  # characters
 QUOTA_MOST = 1e12  # requests a second
@@ -201,7 +201,7 @@
     ) -> None:
         super().__init__(previous, now=now, retired_until=retired_until)
         self._before = self._names.used
-        self._added = bytearray(self._before)  # by number; grows with the numbers
+        self._added = NumberSet()
         self._adds = 0
         self._table: TenantTable | None = None
 
@@ -215,11 +215,8 @@
     def add(self, name: str, quota: float = 0.0) -> int:
         """One entry; gives its number. Raises TenantFault, which names the entry."""
         number = self.put(name, quota, self._adds)
-        if number >= len(self._added):
-            self._added.extend(bytes(number + 1 - len(self._added)))
-        elif self._added[number]:
+        if not self._added.add(number):
             raise DuplicateTenant(self._adds, f"the name {name!r} stands twice")
-        self._added[number] = 1
         self._adds += 1
         return number
 
@@ -233,7 +230,7 @@
         """Retire who is not there any more, and drop those whose time has come, a step at a time."""
         for first in range(0, self._before, entries_per_step):
             for number in range(first, min(self._before, first + entries_per_step)):
-                if not self._added[number] and self._quotas.get(number) >= 0:
+                if number not in self._added and self._quotas.get(number) >= 0:
                     self._retire(number)
             yield
         while self._drop_due(max(1, entries_per_step // DROP_COST)):
--- a/tests/test_configuration_tables.py
+++ b/tests/test_configuration_tables.py
@@ -8,6 +8,14 @@
 
 from limeridge.configuration.columns import PAGE_SIZE
 from limeridge.configuration.names import NUMBERS_MOST
+from limeridge.configuration.routes import (
+    Route,
+    RouteFault,
+    RouteTable,
+    RouteTableBuilder,
+    RouteTableEditor,
+    ShadowedRoute,
+)
 from limeridge.configuration.tenants import (
     DuplicateTenant,
     TenantFault,
@@ -162,10 +170,13 @@
     assert all(old is new for old, new in zip(table._names.shards, after._names.shards, strict=True))
 
 
-def size_of(table: TenantTable) -> int:
+def size_of(table: TenantTable | RouteTable) -> int:
     """Bytes of all that hangs on the table."""
-    names = sum(getsizeof(page) + getsizeof(page.blob) + getsizeof(page.ends) for page in table._names.pages)
-    return names + sum(map(getsizeof, table._quotas)) + sum(map(getsizeof, table._names.shards))
+    names, values = (
+        (table._names, table._quotas) if isinstance(table, TenantTable) else (table._prefixes, table._classes)
+    )
+    pages = sum(getsizeof(page) + getsizeof(page.blob) + getsizeof(page.ends) for page in names.pages)
+    return pages + sum(map(getsizeof, values)) + sum(map(getsizeof, names.shards))
 
 
 def test_240_000_tenants_fit_and_no_step_is_long() -> None:
@@ -184,3 +195,107 @@
         began = time.thread_time_ns()
     assert (len(rebuilt.table), rebuilt.table.retired()) == (TENANTS // 2, TENANTS // 2)
     assert sorted(steps)[len(steps) * 9 // 10] < 2_000_000
+
+
+def routed(routes: dict[str, int], previous: RouteTable | None = None) -> RouteTable:
+    builder = RouteTableBuilder(previous)
+    for prefix, class_number in routes.items():
+        builder.add(prefix, class_number)
+    return builder.build()
+
+
+@pytest.mark.parametrize(
+    ("path", "class_number"),
+    [
+        ("/", 0),
+        ("/a", 1),
+        ("/a/", 1),
+        ("/a/b", 2),
+        ("/a/b/c/d/e/f", 2),
+        ("/a/bc", 1),
+        ("/ab", 0),
+        ("/a//b", 1),
+        ("/x/y/z", 3),
+        ("/x/y", 0),
+        ("", None),
+        ("a", None),
+    ],
+)
+def test_the_longest_prefix_of_whole_elements_wins(path: str, class_number: int | None) -> None:
+    table = routed({"/": 0, "/a": 1, "/a/b": 2, "/x/y/z": 3})
+    assert table.find(path) == class_number
+
+
+def test_no_route_fits_without_a_root() -> None:
+    assert RouteTable.empty().find("/a") is None
+    table = routed({"/a": 1})
+    assert (table.find("/"), table.find("/b/a"), table.find("/a/b")) == (None, None, 1)
+
+
+def test_covering_is_the_next_shorter_route() -> None:
+    table = routed({"/": 0, "/a": 1, "/a/b/c": 2})
+    covering = [table.covering(prefix) for prefix in ("/a/b/c", "/a", "/", "/a/b")]
+    assert covering == [Route("/a", 1), Route("/", 0), None, Route("/a", 1)]
+
+
+@pytest.mark.parametrize(
+    ("prefix", "class_number", "fault"),
+    [
+        ("", 1, "prefix: expected a text of 1 to 1024 characters"),
+        ("a", 1, "prefix: expected / and elements with / between them, got 'a'"),
+        ("/a/", 1, "prefix: expected / and elements with / between them, got '/a/'"),
+        ("/a//b", 1, "prefix: expected / and elements with / between them, got '/a//b'"),
+        ("/a?b", 1, "prefix: expected a path without query and fragment, got '/a?b'"),
+        ("/a" * 33, 1, "prefix: expected at most 32 elements"),
+        ("/b", -1, "class: expected a whole number from 0 to 999"),
+        ("/b", 1.0, "class: expected a whole number from 0 to 999"),
+        ("/b", True, "class: expected a whole number from 0 to 999"),
+        ("/a", 2, "the prefix '/a' stands twice"),
+    ],
+)
+def test_a_route_that_cant_be_taken_is_named(prefix: str, class_number: int, fault: str) -> None:
+    builder = RouteTableBuilder()
+    builder.add("/a", 1)
+    with pytest.raises(RouteFault) as raised:
+        builder.add(prefix, class_number)
+    assert str(raised.value) == f"routes.1: {fault}"
+    assert isinstance(raised.value, ShadowedRoute) == (prefix == "/a")
+
+
+def longest(model: dict[str, int], path: str) -> int | None:
+    fits = [prefix for prefix in model if prefix == "/" or (path + "/").startswith(prefix + "/")]
+    return model[max(fits, key=len)] if fits and path.startswith("/") else None
+
+
+def test_random_routes_find_what_a_scan_finds() -> None:
+    rng = random.Random(3)
+    table = RouteTable.empty()
+    model: dict[str, int] = {}
+
+    def path() -> str:
+        return "/" + "/".join(rng.choice("abc") for _ in range(rng.randrange(6)))
+
+    for turn in range(150):
+        if turn % 10:
+            editor = RouteTableEditor(table)
+            for _ in range(rng.randrange(8)):
+                prefix = path()
+                if rng.random() < 0.6:
+                    model[prefix] = rng.randrange(1_000)
+                    editor.put(prefix, model[prefix])
+                else:
+                    assert editor.remove(prefix) == (model.pop(prefix, None) is not None)
+            table = editor.build()
+        else:
+            model = {path(): rng.randrange(1_000) for _ in range(rng.randrange(200))}
+            table = routed(model, table)
+        assert len(table) == len(model)
+        assert {route.prefix: route.class_number for route in table.routes()} == model
+        paths = [path() for _ in range(40)]
+        assert [table.find(each) for each in paths] == [longest(model, each) for each in paths]
+
+
+def test_tenants_and_routes_together_fit_in_32_mb() -> None:
+    routes = routed({f"/region-{n % 23}/service-{n % 301}/operation-{n}": n % 40 for n in range(69_000)})
+    assert len(routes) == 69_000
+    assert size_of(routes) < 8_000_000  # the 240,000 tenants take less than 12 MB, see above
