Fit growth laws to measured costs, with intervals and marked extrapolations

A cost at 3,400 members can't be measured on one machine, so that its growth law has to be chosen by code. fit() takes the simplest of five laws that AICc supports; extrapolate() gives the interval and marks sizes of more than 8 times the largest measured one.

--- /dev/null
+++ b/tests/test_scale_fit.py
@@ -0,0 +1,79 @@
+"""The growth laws of measured costs: `limeridge.scale.fit`."""
+
+import random
+
+import numpy as np
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limeridge.scale.fit import LAWS, extrapolate, fit
+from limeridge.scale.results import Fit, Point
+
+SIZES = (50, 100, 200, 400, 600, 800)
+FEW = settings(derandomize=True, max_examples=60, deadline=None)
+
+
+def growth(law: str, size: float) -> float:
+    return float(LAWS[law](np.array([size], dtype=float))[0])
+
+
+def points(law: str, intercept: float, slope: float, noise: float, seed: int) -> list[Point]:
+    """Three noisy readings at each size, as a sweep gives them."""
+    luck = random.Random(seed)
+    made = []
+    for size in SIZES:
+        cost = intercept + slope * growth(law, size)
+        made.append(Point(size, tuple(cost * (1 + luck.uniform(-noise, noise)) for _ in range(3))))
+    return made
+
+
+@FEW
+@given(st.sampled_from(list(LAWS)), st.floats(0.01, 1e6), st.floats(1, 20), st.integers(0, 2**32))
+def test_the_law_that_made_the_points_is_found(
+    law: str, scale: float, growth_ratio: float, seed: int
+) -> None:
+    # over the measured sizes the cost grows to 1 + growth_ratio times the first one
+    slope = 0.0 if law == "constant" else scale * growth_ratio / growth(law, SIZES[-1])
+    found = fit(points(law, scale, slope, 0.005, seed))
+    assert found is not None and found.law == law
+    assert found.slope == pytest.approx(slope, rel=0.1)
+    assert found.slope_low <= found.slope <= found.slope_high
+
+
+@FEW
+@given(st.sampled_from(list(LAWS)), st.floats(1, 20), st.integers(0, 2**32))
+def test_under_much_noise_the_law_is_at_most_one_step_too_steep(law: str, ratio: float, seed: int) -> None:
+    slope = 0.0 if law == "constant" else ratio / growth(law, SIZES[-1])
+    found = fit(points(law, 1.0, slope, 0.05, seed))
+    steepness = list(LAWS)
+    assert found is not None and steepness.index(found.law) <= steepness.index(law) + 1
+
+
+@FEW
+@given(st.floats(1e-6, 1e9), st.floats(0.0, 0.3), st.integers(0, 2**32))
+def test_noise_alone_is_constant(cost: float, noise: float, seed: int) -> None:
+    found = fit(points("constant", cost, 0.0, noise, seed))
+    assert found is not None and (found.law, found.slope) == ("constant", 0.0)
+
+
+def test_fewer_than_five_sizes_give_no_law() -> None:
+    assert fit(points("n", 1, 1, 0, 0)[:4]) is None
+    assert fit([Point(50, (1.0,))] * 9) is None
+
+
+def test_a_cost_of_nothing_is_constant() -> None:
+    assert fit([Point(size, (0.0, 0.0)) for size in SIZES]) == Fit("constant", 0, 0, 0, 0, 0, 800)
+
+
+def test_an_extrapolation_is_marked_beyond_the_largest_size_and_beyond_eight_times_it() -> None:
+    found = fit(points("n", 10, 2, 0.01, 1))
+    assert found is not None
+    inside, beyond, far = (extrapolate(found, size) for size in (800, 3400, 6401))
+    assert (inside.extrapolated, beyond.extrapolated, beyond.far, far.far) == (False, True, False, True)
+    assert beyond.low < 10 + 2 * 3400 < beyond.high and beyond.value == pytest.approx(6810, rel=0.02)
+
+
+def test_a_falling_cost_is_not_taken_as_less_than_where_it_was_measured() -> None:
+    falling = Fit("n", 100, -0.1, -0.11, -0.09, 0, 800)
+    assert extrapolate(falling, 3400).value == extrapolate(falling, 800).value == pytest.approx(20)
