--- a/limeridge/scale/fit.py
+++ b/limeridge/scale/fit.py
@@ -1,8 +1,8 @@
 """Growth laws of measured costs: which law a sweep's points follow, and what it says of another size.
 
-Each law is cost = intercept + slope * f(size), fitted by least squares to the readings. Each is weighed by its
-size's mean, since the noise of a cost grows with the cost. AICc chooses among the laws: a law that grows must beat
-the constant one by strong evidence, and a steeper law must beat a simpler one clearly.
+Each law is cost = intercept + slope * f(size), fitted by least squares to the readings. Each is weighed by
+its size's mean, since the noise of a cost grows with the cost. AICc chooses among the laws: a law that grows
+must beat the constant one by strong evidence, and a steeper law must beat a simpler one clearly.
 """
 
 from __future__ import annotations
