--- /dev/null
+++ b/limeridge/scale/evidence.py
@@ -0,0 +1,280 @@
+"""Figures and what they rest on: series of committed results, assumptions, or both.
+
+A figure that is made of others has all their sources and the weakest basis among them.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import fmean
+
+from limeridge.scale import results
+from limeridge.scale.fit import CONSTANT, extrapolate, fit
+from limeridge.scale.quantities import BYTE, CORE, MESSAGE, NO_UNIT, SECOND, Quantity, Unit
+from limeridge.scale.results import Fit, Point, Role, Series, Situation, Size, Sweep, UnusableResult
+
+UNITS: dict[results.Unit, Unit] = {
+    results.Unit.CORE_SHARE: CORE,
+    results.Unit.SECONDS: SECOND,
+    results.Unit.BYTES: BYTE,
+    results.Unit.BYTES_PER_SECOND: BYTE / SECOND,
+    results.Unit.PACKETS_PER_SECOND: MESSAGE / SECOND,
+    results.Unit.COUNT: NO_UNIT,
+}
+FIT_TOLERANCE = 1e-6  # relative, between a stored fit and the one that the points give today
+
+
+class Basis(enum.StrEnum):
+    """What a figure rests on, from the strongest to the weakest."""
+
+    STATED = "stated"
+    MEASURED = "measured"
+    EXTRAPOLATED = "extrapolated"
+    FAR = "extrapolated more than 8 times"
+    ASSUMED = "assumed"
+    NOT_MEASURED = "not measured, assumed"
+
+
+STRENGTH = list(Basis)
+
+
+@dataclass(frozen=True)
+class Assumption:
+    """Something that the model takes for granted, with its name and its reason."""
+
+    name: str
+    text: str
+
+
+@dataclass(frozen=True)
+class Reference:
+    """One series of one result: the file's name without its suffix, and the series within it."""
+
+    sweep: str
+    role: Role
+    cost: str
+    situation: Situation
+    against: Size
+
+    @property
+    def key(self) -> str:
+        """The key of the series within its sweep."""
+        return f"{self.role.value}: {self.cost}, {self.situation.value}"
+
+    def __str__(self) -> str:
+        return f"{self.sweep}: {self.key}, against {self.against.value}"
+
+
+@dataclass(frozen=True)
+class Figure:
+    """A quantity, its interval, how it was reached and what it rests on."""
+
+    value: Quantity
+    low: Quantity
+    high: Quantity
+    formula: str
+    basis: Basis
+    sources: tuple[Reference, ...] = ()
+    assumptions: tuple[Assumption, ...] = ()
+
+    def __add__(self, other: Figure) -> Figure:
+        return self._with(other, lambda one, two: one + two, "+")
+
+    def __mul__(self, other: Figure) -> Figure:
+        return self._with(other, lambda one, two: one * two, "x")
+
+    def _with(self, other: Figure, join: Callable[[Quantity, Quantity], Quantity], sign: str) -> Figure:
+        return Figure(
+            value=join(self.value, other.value),
+            low=join(self.low, other.low),
+            high=join(self.high, other.high),
+            formula=f"{_bracketed(self.formula, sign)} {sign} {_bracketed(other.formula, sign)}",
+            basis=max(self.basis, other.basis, key=STRENGTH.index),
+            sources=tuple(dict.fromkeys((*self.sources, *other.sources))),
+            assumptions=tuple(dict.fromkeys((*self.assumptions, *other.assumptions))),
+        )
+
+    def over(self, divisor: Figure) -> Figure:
+        """The quotient of two figures; its interval counts both ends of each."""
+        inverse = Figure(
+            value=Quantity(1) / divisor.value,
+            low=Quantity(1) / divisor.high,
+            high=Quantity(1) / divisor.low,
+            formula=f"1 / {_bracketed(divisor.formula, 'x')}",
+            basis=divisor.basis,
+            sources=divisor.sources,
+            assumptions=divisor.assumptions,
+        )
+        product = self * inverse
+        formula = f"{_bracketed(self.formula, 'x')} / {_bracketed(divisor.formula, 'x')}"
+        return Figure(**{**vars(product), "formula": formula})
+
+
+def _bracketed(formula: str, sign: str) -> str:
+    """In brackets where it is a sum or a quotient outside of any."""
+    outside = re.sub(r"\([^()]*\)", "", formula)
+    compound = " + " in outside or " - " in outside or " / " in outside
+    return f"({formula})" if sign == "x" and compound else formula
+
+
+def stated(value: Quantity, formula: str = "") -> Figure:
+    """A figure of the target, or of the code's own constants."""
+    return Figure(value, value, value, formula or str(value), Basis.STATED)
+
+
+def assumed(value: Quantity, assumption: Assumption, formula: str = "") -> Figure:
+    """A figure that rests on an assumption alone."""
+    return Figure(value, value, value, formula or str(value), Basis.ASSUMED, assumptions=(assumption,))
+
+
+def resting_on(figure: Figure, assumption: Assumption) -> Figure:
+    """The same figure, which takes one thing more for granted."""
+    return Figure(**{**vars(figure), "assumptions": (*figure.assumptions, assumption)})
+
+
+@dataclass(frozen=True)
+class Fallback:
+    """What counts while a series is not there."""
+
+    value: Quantity
+    assumption: Assumption
+
+
+PROPORTIONAL = Assumption(
+    "proportional",
+    "where a series has fewer than five sizes, its cost grows in proportion beyond the largest one",
+)
+
+
+class Evidence:
+    """The results of a folder, by file name without the suffix."""
+
+    def __init__(self, sweeps: dict[str, Sweep]) -> None:
+        self.sweeps = sweeps
+
+    @classmethod
+    def read(cls, folder: Path) -> Evidence:
+        """All results of a folder. Raises UnusableResult for one that can't be used."""
+        if not folder.is_dir():
+            raise UnusableResult(f"{folder}: expected a folder of results of sweeps")
+        return cls({path.stem: results.read(path) for path in sorted(folder.glob("*.json"))})
+
+    def series(self, reference: Reference) -> Series | None:
+        """The series that a reference names, where it has readings."""
+        sweep = self.sweeps.get(reference.sweep)
+        for series in sweep.series if sweep is not None else ():
+            if (series.key, series.against) == (reference.key, reference.against) and series.points:
+                return series
+        return None
+
+    def at(self, reference: Reference, size: Quantity, fallback: Fallback) -> Figure:
+        """The cost that a series gives at a size; the fallback where there is no such series."""
+        series = self.series(reference)
+        if series is None:
+            return Figure(
+                fallback.value,
+                fallback.value,
+                fallback.value,
+                str(fallback.value),
+                Basis.NOT_MEASURED,
+                (),
+                (fallback.assumption,),
+            )
+        return figure_at(series, reference, size.value)
+
+    def growth(self, reference: Reference) -> Fit | None:
+        """The growth law of a series, where there is one."""
+        series = self.series(reference)
+        return None if series is None else law_of(series)
+
+
+def law_of(series: Series) -> Fit | None:
+    """The stored fit, or the one that the points give."""
+    return series.fit or fit(series.points)
+
+
+def figure_at(series: Series, reference: Reference, size: float) -> Figure:
+    """The mean at a measured size; else by the growth law; else in proportion to the largest size."""
+    for point in series.points:
+        if point.size == size:
+            return _mean_of(point, series, reference)
+    law = law_of(series)
+    return _in_proportion(series, reference, size) if law is None else _by_law(law, series, reference, size)
+
+
+def _mean_of(point: Point, series: Series, reference: Reference) -> Figure:
+    unit = UNITS[series.unit]
+    mean = Quantity(fmean(point.readings), unit)
+    return Figure(
+        mean,
+        Quantity(min(point.readings), unit),
+        Quantity(max(point.readings), unit),
+        f"{mean} at {size_text(point.size)} {series.against.value}",
+        Basis.MEASURED,
+        (reference,),
+    )
+
+
+def _by_law(law: Fit, series: Series, reference: Reference, size: float) -> Figure:
+    unit = UNITS[series.unit]
+    found = extrapolate(law, size)
+    basis = Basis.FAR if found.far else Basis.EXTRAPOLATED if found.extrapolated else Basis.MEASURED
+    return Figure(
+        Quantity(found.value, unit),
+        Quantity(found.low, unit),
+        Quantity(found.high, unit),
+        law_text(law, unit, size_text(size)),
+        basis,
+        (reference,),
+    )
+
+
+def _in_proportion(series: Series, reference: Reference, size: float) -> Figure:
+    """At the next size that was measured, or from the largest one on in proportion."""
+    above = [point for point in series.points if point.size >= size]
+    point = (
+        min(above, key=lambda each: each.size) if above else max(series.points, key=lambda each: each.size)
+    )
+    mean = _mean_of(point, series, reference)
+    if above:
+        return mean
+    factor = Quantity(size / point.size)
+    return Figure(
+        mean.value * factor,
+        mean.low * factor,
+        mean.high * factor,
+        f"{mean.formula} x {size_text(size)} / {size_text(point.size)}",
+        Basis.ASSUMED,
+        (reference,),
+        (PROPORTIONAL,),
+    )
+
+
+def size_text(size: float) -> str:
+    """A size for readers."""
+    return f"{size:,.0f}"
+
+
+def law_text(law: Fit, unit: Unit, size: str) -> str:
+    """The law as slope x size, for readers."""
+    start = Quantity(law.intercept, unit)
+    if law.law == CONSTANT:
+        return f"{start}, whatever the size"
+    grown = {"log n": f"ln {size}", "n": size, "n log n": f"{size} ln {size}", "n^2": f"{size}²"}[law.law]
+    slope = Quantity(abs(law.slope), unit)
+    return f"{start} {'-' if law.slope < 0 else '+'} {slope} x {grown}"
+
+
+def stale_fit(series: Series) -> bool:
+    """Whether the stored fit differs from what the points give."""
+    if series.fit is None:
+        return False
+    now = fit(series.points)
+    if now is None or now.law != series.fit.law:
+        return True
+    pairs = ((now.intercept, series.fit.intercept), (now.slope, series.fit.slope))
+    return any(abs(one - two) > FIT_TOLERANCE * max(abs(one), abs(two)) for one, two in pairs)
