--- a/limeridge/cli/main.py
+++ b/limeridge/cli/main.py
@@ -13,6 +13,7 @@
 from limeridge import __version__
 from limeridge.cli.duty import duty
 from limeridge.cli.peers import peers
+from limeridge.cli.scale import scale
 from limeridge.cli.sim import sim
 from limeridge.cli.trial import trial
 from limeridge.settings.load import Unusable
@@ -29,6 +30,7 @@
 
 root.add_command(duty)
 root.add_command(peers)
+root.add_command(scale)
 root.add_command(sim)
 root.add_command(trial)
 
