--- a/limeridge/scale/results.py
+++ b/limeridge/scale/results.py
@@ -61,6 +61,9 @@
     CUT = "two regions cut apart"
     RETURN = "a region comes back at once"
     LOAD = "under load"
+    START = "at the start"
+    RELOAD = "during a reload"
+    CHANGE = "at one change"
 
 
 class Point(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
