--- a/limeridge/scale/collect.py
+++ b/limeridge/scale/collect.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from limeridge.scale.fit import fit
 from limeridge.scale.results import SCHEMA, Point, Role, Series, Situation, Size, Sweep, Unit
 
 Progress = Callable[[str], None]
@@ -72,7 +73,7 @@
 
     def _series(self, cost: Cost) -> Series:
         points = self.points(cost)
-        return Series(cost.name, cost.role, cost.situation, cost.against, cost.unit, points)
+        return Series(cost.name, cost.role, cost.situation, cost.against, cost.unit, points, fit(points))
 
 
 def revision() -> str:
--- a/tests/test_scale_path.py
+++ b/tests/test_scale_path.py
@@ -183,6 +183,17 @@
         RealInstance(tmp_path, Ports(1, 2, 3, 4), tenants=1)
 
 
+def test_a_series_of_five_sizes_is_fitted() -> None:
+    collector = Collector("test", "test", lambda line: None)
+    cost = Cost("memory", Situation.REST, Size.TENANTS, Unit.BYTES)
+    for size in (1, 2, 4, 8, 16):
+        for _ in range(3):
+            collector.add(cost, size, 5.0 + 2.0 * size)
+    (series,) = collector.sweep().series
+    assert series.fit is not None and series.fit.law == "n"
+    assert (series.fit.slope, series.fit.intercept) == pytest.approx((2.0, 5.0))
+
+
 def test_a_collector_gives_ascending_sizes_with_all_their_readings() -> None:
     collector = Collector("test", "test", lambda line: None)
     cost = Cost("memory", Situation.REST, Size.TENANTS, Unit.BYTES)
