--- a/tests/test_scale_path.py
+++ b/tests/test_scale_path.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from limeridge.scale import page as page_of_results
 from limeridge.scale import real_instance, request_path
 from limeridge.scale.below import LOOPBACK, Ports
 from limeridge.scale.collect import Collector, Cost
@@ -30,7 +31,7 @@
 )
 from limeridge.scale.real_instance import RealInstance, Refused
 from limeridge.scale.request_path import PathSweep, Window
-from limeridge.scale.results import Situation, Size, Unit, read
+from limeridge.scale.results import Situation, Size, Unit, read, write
 
 STALL = 0.4  # seconds
 COMMAND_BY = 60.0
@@ -223,3 +224,21 @@
     else:
         assert set(counts["reloads told in the log"]) == {1}
         assert counts["file"] == sorted(counts["file"]) and counts["file"][-1] > 40_000
+
+
+def test_the_page_says_what_the_results_say() -> None:
+    page = (page_of_results.FOLDER / "README.md").read_text()
+    assert page == page_of_results.written(page, page_of_results.FOLDER)
+
+
+def test_a_part_of_the_page_is_written_from_its_result(tmp_path: Path) -> None:
+    collector = Collector("test", "the command", lambda line: None)
+    cost = Cost("start", Situation.START, Size.TENANTS, Unit.SECONDS)
+    for reading in (0.0012, 0.0014):
+        collector.add(cost, 1_000, reading)
+    collector.note("not reached: 2,000")
+    write(tmp_path / "test.json", collector.sweep())
+    page = page_of_results.written("# Head\n<!-- sweep test -->\nold\n<!-- end -->\nTail\n", tmp_path)
+    assert "| start, at the start | ms | 1.3 (1.2 to 1.4) | - |" in page
+    assert page.startswith("# Head\n") and page.endswith("<!-- end -->\nTail\n") and "old" not in page
+    assert "`the command`" in page and "- not reached: 2,000" in page
