--- /dev/null
+++ b/limeridge/configuration/chain.py
@@ -0,0 +1,313 @@
+"""The chain of revisions: a log in which each one's hash covers the one before it and the tables after it.
+
+It owns the order of revisions, what a hash covers, that a change id counts once, and compaction. It must
+never accept under a token older than one that was promised, never give out a revision that is not committed,
+and never take back one that is. Unix time is told in each revision and compared nowhere. It does not know how
+revisions get from one publisher to another, nor when a majority has one.
+
+A publisher that takes over has a majority promise its token, takes the chain of the greatest rank among them,
+and first appends a revision without changes under its own token, as a new leader in Raft does (Ongaro and
+Ousterhout 2014). Once a majority has that, all up to it is committed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from limeridge.configuration.changes import Draft, draft_bytes, fingerprint_of, packed, text_bytes
+from limeridge.configuration.checks import check_draft
+from limeridge.configuration.tables import DIGEST_BYTES, Tables, TablesEditor
+
+HASH_BYTES = 16
+NO_HASH = bytes(HASH_BYTES)
+REMEMBERED_MOST = 100_000  # change ids; a week at 15,000 changes a day
+
+# Publishers have no requests open: what they remove is forgotten with the next change.
+PUBLISHER_NOW, PUBLISHER_RETIRED_UNTIL = 2, 1
+
+
+class ChainFault(Exception):
+    """What was asked for does not fit the chain."""
+
+
+class StaleToken(ChainFault):
+    """A newer holder of the duty has written, or the token is not above the last one's at a take-over."""
+
+
+class ChangeIdReused(ChainFault):
+    """The change id stands for another draft."""
+
+
+class BrokenLink(ChainFault):
+    """A revision does not follow the one before it, or its hash is not that of its content."""
+
+
+class NotInLog(ChainFault):
+    """The revision is not in the log: compacted, not there yet, or of another chain."""
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class FencingToken:
+    """Of the duty to accept changes; greater is newer. As `duty.ballots.Token`, without its library."""
+
+    number: int = 0
+    holder: str = ""
+    nonce: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Head:
+    """A place in a chain: revision, the hash of the chain up to it, and the token that wrote it."""
+
+    number: int
+    hash: bytes
+    token: FencingToken
+
+    @property
+    def rank(self) -> tuple[FencingToken, int]:
+        """Of two chains' heads the greater one has all that was committed."""
+        return self.token, self.number
+
+
+@dataclass(slots=True, frozen=True)
+class Revision:
+    """One step of the chain. Without changes where a publisher took over."""
+
+    number: int
+    token: FencingToken
+    time: int  # Unix time in microseconds as the publisher's clock had it; it may step back
+    draft: Draft
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """A revision in the log: `previous` and `hash` link it, `digest` is that of the tables after it."""
+
+    revision: Revision
+    previous: bytes
+    digest: int
+    hash: bytes
+
+    @property
+    def head(self) -> Head:
+        return Head(self.revision.number, self.hash, self.revision.token)
+
+
+@dataclass(slots=True, frozen=True)
+class Receipt:
+    """The answer to an author; `again` where the change id had been accepted before."""
+
+    number: int
+    hash: bytes
+    again: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Remembered:
+    """What a change id stands for."""
+
+    number: int
+    hash: bytes
+    fingerprint: bytes
+
+
+def hash_of(previous: bytes, revision: Revision, digest: int) -> bytes:
+    token = revision.token
+    covered = packed(
+        previous,
+        b"%d" % revision.number,
+        b"%d" % token.number,
+        text_bytes(token.holder),
+        b"%d" % token.nonce,
+        b"%d" % revision.time,
+        draft_bytes(revision.draft),
+        digest.to_bytes(DIGEST_BYTES, "big"),
+    )
+    return blake2b(covered, digest_size=HASH_BYTES).digest()
+
+
+def entry_of(previous: bytes, revision: Revision, digest: int) -> Entry:
+    return Entry(revision, previous, digest, hash_of(previous, revision, digest))
+
+
+def is_sound(entry: Entry) -> bool:
+    """Whether the entry's hash is that of its content."""
+    return entry.hash == hash_of(entry.previous, entry.revision, entry.digest)
+
+
+def first_entry(tables: Tables, time: int) -> Entry:
+    """Revision 0: the tables that a chain begins with."""
+    draft = Draft("first", "publisher", "the tables that the chain begins with", ())
+    return entry_of(NO_HASH, Revision(0, FencingToken(), time, draft), tables.digest)
+
+
+class Chain:
+    """One publisher's log: a base with its tables, the entries after it, and which of them are committed."""
+
+    def __init__(
+        self, base: Entry, tables: Tables, remembered: Iterable[tuple[str, Remembered]] = ()
+    ) -> None:
+        """`base` is committed; `remembered` are the change ids that an earlier log had. Raises BrokenLink."""
+        if not is_sound(base) or base.digest != tables.digest:
+            raise BrokenLink(f"revision {base.revision.number} does not have these tables")
+        self.base = base
+        self._base_tables = tables
+        self._entries: list[Entry] = []
+        self.tables = tables  # after the last entry, committed or not
+        self.committed = base.revision.number
+        self.promised = base.revision.token  # nothing under an older one is taken
+        self._remembered = dict(remembered)
+
+    @property
+    def last(self) -> Entry:
+        return self._entries[-1] if self._entries else self.base
+
+    @property
+    def head(self) -> Head:
+        return self.last.head
+
+    @property
+    def committed_head(self) -> Head:
+        return self.entry(self.committed).head
+
+    def remembered(self) -> tuple[tuple[str, Remembered], ...]:
+        """Change ids, oldest first, for the log of another publisher."""
+        return tuple(self._remembered.items())
+
+    def receipt(self, draft: Draft) -> Receipt | None:
+        """The answer where the change id was accepted before. Raises ChangeIdReused."""
+        before = self._remembered.get(draft.change_id)
+        if before is None:
+            return None
+        if before.fingerprint != fingerprint_of(draft):
+            raise ChangeIdReused(f"the change id {draft.change_id!r} stands for other changes")
+        return Receipt(before.number, before.hash, again=True)
+
+    def accept(self, draft: Draft, token: FencingToken, time: int) -> Receipt:
+        """Append a draft; it counts once it is committed. Raises ChainFault, Refused."""
+        if token != self.head.token or token < self.promised:
+            raise StaleToken(f"revision {self.head.number} was written under another token")
+        if (receipt := self.receipt(draft)) is not None:
+            return receipt
+        check_draft(self.tables, draft)
+        entry = self._append(Revision(self.head.number + 1, token, time, draft))
+        return Receipt(entry.revision.number, entry.hash, again=False)
+
+    def take_over(self, token: FencingToken, time: int) -> Entry:
+        """Append the revision without changes that a new holder begins with. Raises StaleToken."""
+        if token <= self.head.token or token < self.promised:
+            raise StaleToken(f"revision {self.head.number} was written under a token that is not older")
+        number = self.head.number + 1
+        draft = Draft(
+            f"take-over-{number}-{token.number}", token.holder, "takes over the duty to publish", ()
+        )
+        return self._append(Revision(number, token, time, draft))
+
+    def promise(self, token: FencingToken) -> None:
+        """Take nothing under an older token from now on. Raises StaleToken where a newer one is promised."""
+        if token < self.promised:
+            raise StaleToken("a newer token is promised")
+        self.promised = token
+
+    def replicate(self, entries: Sequence[Entry], token: FencingToken) -> None:
+        """Take the entries of the publisher that holds this token, in the place of uncommitted ones.
+
+        Raises StaleToken where a newer token is promised, BrokenLink where the entries do not follow.
+        """
+        self.promise(token)
+        for entry in entries:
+            number = entry.revision.number
+            if number <= self.head.number:
+                if number < self.base.revision.number or self.entry(number).hash == entry.hash:
+                    continue
+                self._truncate(number)
+            if entry.previous != self.head.hash or number != self.head.number + 1 or not is_sound(entry):
+                raise BrokenLink(f"revision {number} does not follow revision {self.head.number}")
+            if entry.revision.token < self.head.token:
+                raise BrokenLink(f"revision {number} is under an older token than the one before it")
+            appended = self._append(entry.revision)
+            if appended != entry:
+                raise BrokenLink(f"revision {number} gives other tables here")
+
+    def commit(self, number: int) -> None:
+        """A majority has all up to this revision. Raises NotInLog beyond the head; never goes back."""
+        if number > self.head.number:
+            raise NotInLog(f"revision {number} is beyond the head, {self.head.number}")
+        self.committed = max(self.committed, number)
+
+    def entry(self, number: int) -> Entry:
+        """Raises NotInLog."""
+        index = number - self.base.revision.number
+        if not 0 <= index <= len(self._entries):
+            raise NotInLog(f"revision {number} is not in the log")
+        return self._entries[index - 1] if index else self.base
+
+    def after(self, head: Head, most: int) -> tuple[Entry, ...] | None:
+        """Committed entries behind a subscriber's head, at most so many; None where only a snapshot helps."""
+        try:
+            known = self.entry(head.number)
+        except NotInLog:
+            return None
+        if known.hash != head.hash or head.number > self.committed:
+            return None
+        first = head.number - self.base.revision.number
+        return tuple(self._entries[first : min(first + most, self.committed - self.base.revision.number)])
+
+    def tables_at(self, number: int) -> Tables:
+        """The tables by a revision of the log. Raises NotInLog."""
+        self.entry(number)
+        if number == self.head.number:
+            return self.tables
+        return replayed(self._base_tables, self._entries[: number - self.base.revision.number])
+
+    def compact(self, keep: int) -> None:
+        """Forget all but the last `keep` committed entries; the base moves up to what was before them."""
+        number = self.committed - keep
+        if number <= self.base.revision.number:
+            return
+        base, tables = self.entry(number), self.tables_at(number)
+        del self._entries[: number - self.base.revision.number]
+        self.base, self._base_tables = base, tables
+
+    def _append(self, revision: Revision) -> Entry:
+        tables = replayed_revision(self.tables, revision)
+        entry = entry_of(self.head.hash, revision, tables.digest)
+        self._entries.append(entry)
+        self.tables = tables
+        self._remember(entry)
+        return entry
+
+    def _remember(self, entry: Entry) -> None:
+        draft = entry.revision.draft
+        self._remembered[draft.change_id] = Remembered(
+            entry.revision.number, entry.hash, fingerprint_of(draft)
+        )
+        while len(self._remembered) > REMEMBERED_MOST:
+            del self._remembered[next(iter(self._remembered))]
+
+    def _truncate(self, number: int) -> None:
+        """Take back this uncommitted revision and all behind it."""
+        if number <= self.committed:
+            raise BrokenLink(f"revision {number} is committed with another hash")
+        tables = self.tables_at(number - 1)
+        kept = number - 1 - self.base.revision.number
+        for entry in self._entries[kept:]:
+            self._remembered.pop(entry.revision.draft.change_id, None)
+        del self._entries[kept:]
+        self.tables = tables
+
+
+def replayed(tables: Tables, entries: Iterable[Entry]) -> Tables:
+    """The tables after all entries, built once."""
+    editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
+    for entry in entries:
+        editor.apply(entry.revision.draft.changes)
+    return editor.build()
+
+
+def replayed_revision(tables: Tables, revision: Revision) -> Tables:
+    editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
+    editor.apply(revision.draft.changes)
+    return editor.build()
--- a/limeridge/configuration/routes.py
+++ b/limeridge/configuration/routes.py
@@ -125,6 +125,11 @@
         self._classes.set(number, class_number)
         return number
 
+    def get(self, prefix: str) -> int | None:
+        """The class of just this prefix, None where it is not there."""
+        number = self._prefixes.find(prefix)
+        return None if number is None else self._classes.get(number)
+
     def remove(self, prefix: str) -> bool:
         """False where the route is not there."""
         number = self._prefixes.find(prefix)
--- /dev/null
+++ b/limeridge/configuration/snapshot.py
@@ -0,0 +1,175 @@
+"""Snapshots: all that is in force by one revision, in parts that are sent, checked and loaded one by one.
+
+It owns the cutting into parts and the loading. The header's hash covers the digest of the tables, and the
+digest all entries, so that a loaded snapshot is known to be the chain's. It must never give out tables that
+are not, and never do more than a small piece of work in one step.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from limeridge.configuration.chain import Entry, Head, is_sound
+from limeridge.configuration.routes import RouteFault, RouteTableBuilder
+from limeridge.configuration.tables import (
+    DIGEST_MASK,
+    ClassLimits,
+    Tables,
+    limits_digest,
+    route_digest,
+    sorted_routes,
+    sorted_tenants,
+    tenant_digest,
+)
+from limeridge.configuration.tenants import TenantFault, TenantTableBuilder
+
+PART_ENTRIES = 1_000
+ENTRIES_PER_STEP = 50  # under a millisecond
+
+
+class SnapshotFault(Exception):
+    """A part is missing or not of this snapshot, or what came is not what the chain's hash covers."""
+
+
+@dataclass(slots=True, frozen=True)
+class SnapshotHeader:
+    """The last entry that the snapshot has in it, the classes, and what follows."""
+
+    entry: Entry
+    limits: ClassLimits
+    tenants: int
+    routes: int
+    parts: int
+
+    @property
+    def head(self) -> Head:
+        return self.entry.head
+
+
+@dataclass(slots=True, frozen=True)
+class SnapshotPart:
+    """`index` counts the parts from 0; tenants with quotas, routes with the names of their classes."""
+
+    hash: bytes
+    index: int
+    tenants: tuple[tuple[str, float], ...]
+    routes: tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    header: SnapshotHeader
+    parts: tuple[SnapshotPart, ...]
+
+
+def snapshot_of(entry: Entry, tables: Tables) -> Snapshot:
+    """The same for the same tables, whatever they went through. Takes long where the tables are large."""
+    tenants, routes = sorted_tenants(tables), sorted_routes(tables)
+    cuts: list[tuple[tuple[tuple[str, float], ...], tuple[tuple[str, str], ...]]] = []
+    for first in range(0, len(tenants), PART_ENTRIES):
+        cuts.append((tuple(tenants[first : first + PART_ENTRIES]), ()))
+    for first in range(0, len(routes), PART_ENTRIES):
+        cuts.append(((), tuple(routes[first : first + PART_ENTRIES])))
+    parts = tuple(SnapshotPart(entry.hash, index, *cut) for index, cut in enumerate(cuts))
+    return Snapshot(SnapshotHeader(entry, tables.limits, len(tenants), len(routes), len(parts)), parts)
+
+
+class SnapshotLoader:
+    """Builds the tables of one snapshot; tenants that `previous` has keep their numbers.
+
+    `now` and `retired_until` are microseconds of the process' own clock, see TenantTableEditor.
+    """
+
+    def __init__(
+        self,
+        header: SnapshotHeader,
+        previous: Tables | None,
+        *,
+        now: int,
+        retired_until: int | None = None,
+    ) -> None:
+        """Raises SnapshotFault where the header's hash is not that of its content."""
+        if not is_sound(header.entry):
+            raise SnapshotFault(f"revision {header.head.number}: the hash is not that of its content")
+        self.header = header
+        self._tenants = TenantTableBuilder(
+            previous.tenants if previous else None, now=now, retired_until=retired_until
+        )
+        self._routes = RouteTableBuilder(previous.routes if previous else None)
+        self._digest = limits_digest(header.limits)
+        self._next = 0
+        self._tables: Tables | None = None
+
+    @property
+    def wants(self) -> int:
+        """The index of the part that comes next; as many as there are parts where all came."""
+        return self._next
+
+    @property
+    def complete(self) -> bool:
+        return self._next == self.header.parts
+
+    @property
+    def tables(self) -> Tables:
+        """What was loaded. Raises RuntimeError before the last step."""
+        if self._tables is None:
+            raise RuntimeError("the snapshot is not loaded yet")
+        return self._tables
+
+    def take(self, part: SnapshotPart) -> Iterator[None]:
+        """The next part, a step at a time. Raises SnapshotFault."""
+        if part.hash != self.header.entry.hash or part.index != self._next or self.complete:
+            raise SnapshotFault(f"expected part {self._next} of revision {self.header.head.number}")
+        self._next += 1
+        for first in range(0, len(part.tenants), ENTRIES_PER_STEP):
+            self._take_tenants(part.tenants[first : first + ENTRIES_PER_STEP])
+            yield
+        for first in range(0, len(part.routes), ENTRIES_PER_STEP):
+            self._take_routes(part.routes[first : first + ENTRIES_PER_STEP])
+            yield
+
+    def finish(self) -> Iterator[None]:
+        """After the last part, a step at a time; `tables` is there behind it. Raises SnapshotFault."""
+        if not self.complete:
+            raise SnapshotFault(f"expected part {self._next} of revision {self.header.head.number}")
+        yield from self._tenants.build_steps()
+        yield from self._routes.build_steps()
+        tenants, routes = self._tenants.table, self._routes.table
+        counts = len(tenants), len(routes)
+        if counts != (self.header.tenants, self.header.routes) or self._digest != self.header.entry.digest:
+            raise SnapshotFault(f"revision {self.header.head.number}: the digest is not that of the tables")
+        self._tables = Tables(tenants, routes, self.header.limits, self._digest)
+
+    def _take_tenants(self, tenants: tuple[tuple[str, float], ...]) -> None:
+        try:
+            for name, quota in tenants:
+                self._tenants.add(name, quota)
+                self._digest = (self._digest + tenant_digest(name, quota)) & DIGEST_MASK
+        except TenantFault as fault:
+            raise SnapshotFault(str(fault)) from None
+
+    def _take_routes(self, routes: tuple[tuple[str, str], ...]) -> None:
+        limits = self.header.limits
+        try:
+            for prefix, class_name in routes:
+                number = limits.find(class_name)
+                if number is None:
+                    raise SnapshotFault(f"the route {prefix!r} leads to a class that is not there")
+                self._routes.add(prefix, number)
+                self._digest = (self._digest + route_digest(prefix, class_name)) & DIGEST_MASK
+        except RouteFault as fault:
+            raise SnapshotFault(str(fault)) from None
+
+
+def loaded(
+    snapshot: Snapshot, previous: Tables | None = None, *, now: int = 0, retired_until: int | None = None
+) -> Tables:
+    """All steps at once. Raises SnapshotFault."""
+    loader = SnapshotLoader(snapshot.header, previous, now=now, retired_until=retired_until)
+    for part in snapshot.parts:
+        for _ in loader.take(part):
+            pass
+    for _ in loader.finish():
+        pass
+    return loader.tables
--- a/limeridge/configuration/tenants.py
+++ b/limeridge/configuration/tenants.py
@@ -145,6 +145,14 @@
         self._quotas.set(number, float(quota))
         return number
 
+    def get(self, name: str) -> float | None:
+        """The quota of a tenant that is present, None of one that is not."""
+        number = self._names.find(name)
+        if number is None:
+            return None
+        quota = self._quotas.get(number)
+        return quota if quota >= 0 else None
+
     def remove(self, name: str) -> bool:
         """Retire a tenant; False where it is not present."""
         number = self._names.find(name)
