Simulate callers that copy a key, and judge what a key is worth to its owner and to others

Cause: the rule of results took any result under a key for a repeat's own, so that a request with another body or tenant could get it unseen; the simulation's bad callers sent no keys.

Change: the kind of fault key-copy. Such a caller sends a key that the instance has read lately with another body, tenant or both, and then the owner's own repeat. Rules key-copied (nothing but an error under a key that stands for another request) and key-kept (a repeat of what ended well gets its result), fed from the wires.

--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -731,6 +731,36 @@
         "        if share is not None and self.in_hand() + 1 > share:",
         "a share once had is kept",
     ),
+    _m(
+        "key-body-unchecked",
+        FACADE,
+        "(entry.intake.doc, entry.intake.customer) != (intake.doc, intake.customer)",
+        "entry.intake.customer != intake.customer",
+        "a key that comes with another body is taken for a repeat",
+    ),
+    _m(
+        "key-tenant-unchecked",
+        FACADE,
+        "(entry.intake.doc, entry.intake.customer) != (intake.doc, intake.customer)",
+        "entry.intake.doc != intake.doc",
+        "a key that comes from another tenant is taken for a repeat",
+    ),
+    _m(
+        "key-refused-to-owner",
+        FACADE,
+        "        if self._misused(intake, now):\n",
+        "        if self._misused(intake, now) or any(each.result for each in self._tries(intake, now)):\n"
+        "            self.log.event('bad-message', 'key that was answered')\n",
+        "a repeat whose result is kept is taken for a misuse",
+    ),
+    _m(
+        "key-lost-to-copier",
+        FACADE,
+        "        if self._misused(intake, now):\n",
+        "        if self._misused(intake, now):\n"
+        "            self.keys.pop((intake.product, intake.key), None)\n",
+        "a misused key is forgotten, so that its owner's repeat is not known as one",
+    ),
 )
 
 
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -47,6 +47,8 @@
     "call-twice": "no call is repeated that may have had one",
     "unsaid": "a txn that ran is not told as one that never did",
     "result": "a result is its own txn's, unchanged",
+    "key-copied": "under a key that stands for another body or tenant nothing is had but an error",
+    "key-kept": "the repeat of a keyed request that ended well gets its result",
     "kept-back": "what ended well is answered with its result",
     "call-limit": "calls in hand within the own share",
     "memory": "memory as it is booked",
@@ -92,6 +94,7 @@
     gone: bool = False
     extra: int = 0  # answers after the caller was gone, of which one does no harm
     sched: int = -1
+    sched_turn: int = 0
     links: dict[int, str] = field(default_factory=dict)  # the last command for it on each link
     end: str = ""
     ended: int = -1  # the turn in which its end was read
@@ -103,6 +106,20 @@
     reply: bytes | None = None  # a good one that came for this call
     call_proved: bool = True  # no call for this cursor can have had an effect
     answered_as_run: bool = False
+    turn: int = 0  # in which it was read
+
+    def same_request(self, other: Case) -> bool:
+        """Whether both are of one body and one tenant, as repeats under a key are."""
+        return (self.ask.doc, self.ask.customer) == (other.ask.doc, other.ask.customer)
+
+    def holds_key_at(self, other: Case) -> bool:
+        """Whether it certainly stood for its key when `other` was read: it was running or had run, within
+        its window."""
+        return (
+            self.end != "void"
+            and self.sched_turn < other.turn
+            and other.landed < self.landed + self.product.window - 5 * MS
+        )
 
 
 @dataclass(slots=True, eq=False)
@@ -258,7 +275,7 @@
         due = min(now + patience, landed + patience + MS)
         if now - self.stepped < 3 * SECOND:  # its age can't be known
             due = now + patience
-        case = Case(ask, product, now, min(landed, now), max(due, now))
+        case = Case(ask, product, now, min(landed, now), max(due, now), turn=self.turn)
         self.cases[ask.line, ask.id] = self.by_ref[ask.ref] = case
         if self.plan.memory_kb:
             self._judge_memory()
@@ -291,6 +308,7 @@
         self.note(answer.kind, ref)
         if answer.come_back < 0 or answer.come_back > 1_000:
             raise Broken("form", ref, f"told to come back after {answer.come_back} ms")
+        self._judge_key(case, answer.kind)
         if answer.kind == "settled":
             self._judge_result(case, answer.doc)
         else:
@@ -307,11 +325,32 @@
         if case.end == "ok" and doc == case.result:
             return
         if case.ask.key:
-            same = self.docs.get((case.ask.product, case.ask.key), ())
-            if any(other.result == doc for other in same):
+            kept = self.docs.get((case.ask.product, case.ask.key), ())
+            if any(other.result == doc and other.same_request(case) for other in kept):
                 return
+            if any(other.result == doc for other in kept):
+                raise Broken("key-copied", case.ask.ref, "settled with the result of another body or tenant")
         raise Broken("result", case.ask.ref, f"settled with {doc[:60]!r}, which no run of it gave")
 
+    def _judge_key(self, case: Case, kind: str) -> None:
+        """What a key is worth to its own request and to others; by those that certainly held it when this
+        one was read."""
+        if not case.ask.key or case.gone or self.now - self.stepped < 3 * SECOND:
+            return
+        holders = [
+            other
+            for other in self.keys.get((case.ask.product, case.ask.key), ())
+            if other is not case and other.holds_key_at(case)
+        ]
+        if any(not other.same_request(case) for other in holders):
+            self.judged["key-copied"] += 1
+            if kind != "voided":
+                raise Broken("key-copied", case.ask.ref, f"{kind} under a key that another request holds")
+        elif any(other.end == "ok" and other.ended < case.turn for other in holders):
+            self.judged["key-kept"] += 1
+            if kind != "settled":
+                raise Broken("key-kept", case.ask.ref, f"{kind}, and the result of its key was kept")
+
     def _revoked(self, revoked: Revoked) -> None:
         case = self.cases.get((revoked.line, revoked.id))
         if case is None and revoked.ref in self.by_ref:
@@ -405,7 +444,7 @@
             raise Broken("unchanged", ref, "its product or body was changed on its way to the kernel")
         if case.sched >= 0:
             return  # sent again on a new link
-        case.sched = self.now
+        case.sched, case.sched_turn = self.now, self.turn
         self._judge_effects(case)
         if self.left is not None:
             self.judged["grace"] += 1
--- a/limeridge/sim/plan.py
+++ b/limeridge/sim/plan.py
@@ -54,6 +54,7 @@
     ISLANDS = "islands"  # instances in `amount` parts that don't reach each other
     FLAP = "flap"  # an instance's links to the others, cut and mended again and again
     PEER_LOSS = "peer-loss"  # share `amount` of all that instances send in datagrams
+    KEY_COPY = "key-copy"  # `amount` bad callers send a key that they copied, with another body or tenant
 
 
 AT_INSTANCE = (
@@ -73,10 +74,13 @@
     Kind.RESETS,
     Kind.SLOW_WIRE,
     Kind.FLAP,
+    Kind.KEY_COPY,
 )
 ENDS_LIVES = (Kind.KILL, Kind.DRAIN)
 AMONG = (Kind.ISLANDS, Kind.FLAP, Kind.PEER_LOSS)  # instances that know each other
 ALONE = tuple(kind for kind in Kind if kind not in AMONG)
+BAD_CALLERS = (Kind.KEY_COPY,)  # drawn from a stream of their own, so that they move no other draw
+USUAL_KINDS = tuple(kind for kind in ALONE if kind not in BAD_CALLERS)
 TRIGGERS = (
     "asked",
     "sched",
@@ -287,7 +291,8 @@
     op_ms: Range = (2, 60)
     calls: Range = (0, 2)
     faults: Range = (3, 9)
-    kinds: tuple[Kind, ...] = ALONE
+    kinds: tuple[Kind, ...] = USUAL_KINDS
+    bad_callers: Range = (0, 0)  # faults of these kinds beside the others
     scripted: tuple[Fault, ...] = ()
     quanta: tuple[int, ...] = (1, 1, 100, 1_000, 5_000)
     ties: Ties = Ties.DRAWN
@@ -328,6 +333,7 @@
     products = tuple(draw_products(ranges, chance))
     customers = chance.choice((0, 1, 2))
     faults = tuple(draw_faults(ranges, chance, span, instances, len(callers)))
+    bad_callers = draw_bad_callers(ranges, seed, span, instances)
     asks = tuple(draw_asks(ranges, chance, span, products, customers, len(callers), faults))
     weather = Weather(
         least=chance.choice((10, 50, 200)),
@@ -349,7 +355,7 @@
         callers=callers,
         weather=weather,
         asks=asks,
-        faults=faults,
+        faults=tuple(sorted((*faults, *bad_callers), key=lambda fault: fault.at)),
         quiet=span,
         quantum=chance.choice(ranges.quanta),
         ties=ranges.ties,
@@ -461,6 +467,16 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def draw_bad_callers(ranges: Ranges, seed: int, span: int, instances: int) -> list[Fault]:
+    """Beside the other faults, from a stream of their own: all else is drawn as it is without them."""
+    chance = random.Random(f"{ranges.name}/{seed}/bad callers")
+    faults = []
+    for _ in range(whole(chance, ranges.bad_callers)):
+        kind = chance.choice(BAD_CALLERS)
+        faults.append(draw_fault(kind, whole(chance, (0, instances - 1)), ranges, chance, span))
+    return faults
+
+
 def draw_fault(kind: Kind, target: int, ranges: Ranges, chance: random.Random, span: int) -> Fault:
     at = int(chance.uniform(0.05, 0.85) * span)
     lasts = int(spread(chance, (20 * MS, 0.6 * span)))
@@ -482,6 +498,7 @@
         Kind.ISLANDS: (2, 3),
         Kind.FLAP: (0.05, 0.3),
         Kind.PEER_LOSS: (0.05, 0.4),
+        Kind.KEY_COPY: (1, 12),
     }
     amount = spread(chance, amounts[kind]) if kind in amounts else 0.0
     if kind is Kind.CLOCK_STEP:
--- a/limeridge/sim/scenario.py
+++ b/limeridge/sim/scenario.py
@@ -39,6 +39,7 @@
     "op_ms": (0.1, 10_000),
     "calls": (0, 8),
     "faults": (0, 50),
+    "bad_callers": (0, 50),
     "expiry_ms": (50, 60_000),
     "stop_ms": (200, 60_000),
     "grace_ms": (0, 60_000),
@@ -61,6 +62,7 @@
     Kind.ISLANDS: (2, 230),
     Kind.FLAP: (0.01, 60),
     Kind.PEER_LOSS: (0, 1),
+    Kind.KEY_COPY: (1, 1_000),
 }
 
 
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import base64
 import gc
 import random
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import combinations
 from typing import Any
@@ -47,7 +48,8 @@
 )
 from limeridge.sim.reactor import Network, Reactor, Socket
 from limeridge.sim.timeline import BEGIN, SECOND, Life, Timeline
-from limeridge.sim.wires import Passed, Recorder
+from limeridge.sim.wires import Asked, Passed, Recorder
+from limeridge.standins.bad_callers import ConnectOnce, KeyCopier
 from limeridge.standins.callers import Habit, Rude, RudeWay, Stub, Want
 from limeridge.standins.kernel import Kernel
 from limeridge.standins.ledger import Ledger
@@ -55,6 +57,8 @@
 
 UNIX = 1_764_576_000 * SECOND  # Unix time at virtual time 0
 RECENT = 400  # events kept for a report
+KEYED_KEPT = 12  # requests of an instance whose keys a bad caller may copy
+COPY_WITHIN = 60 * MS  # that one fault's copies are spread over
 TICK_MOST = 20_000  # steps on one tick
 LOOK = 5 * MS  # between two looks for what is overdue
 KERNEL_PORTS = 7300, 7301
@@ -117,6 +121,7 @@
         self.left = False
         self.link: Any = None  # to the other members
         self.drift = world.chance(f"drift {number}").uniform(-DRIFT, DRIFT)
+        self.keyed: deque[Asked] = deque(maxlen=KEYED_KEPT)  # lately read by this life, with a key
         self.armed: list[list[Any]] = []  # faults that wait for an event: fault, how many are still to come
 
     # ---- lives
@@ -125,6 +130,7 @@
         world, plan, now = self.world, self.world.plan, self.world.timeline.now
         self.lives += 1
         self.left = False
+        self.keyed.clear()
         kernel_life = self.kernel_life = Life(f"k{self.number}", kernel_ip(self.number), self.lives, now)
         self.kernel_reactor = Reactor(world.network, kernel_life, world.broken_standin)
         boot = plan.boot / SECOND
@@ -286,6 +292,8 @@
             self.oracles.see(self.world.timeline.now, event)
         except Broken as broken:
             self.broke(broken)
+        if isinstance(event, Asked) and event.key:
+            self.keyed.append(event)
 
     def logged(self, line: bytes) -> int:
         if self.world.record is not None:
@@ -336,6 +344,7 @@
         self.came: list[tuple[Kind, int, int]] = []
         self.broken: tuple[Broken, str, int] | None = None
         self.trouble = self.chance("trouble")
+        self.bad_callers = self.chance("bad callers")
         self.last_heal = BEGIN + plan.quiet
         self.quiet = False
         self.ending: list[Callable[[], None]] = []  # what heals a fault that still lasts
@@ -695,6 +704,42 @@
             self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, RudeWay(rude), timeout=1.0)
         return None
 
+    def _key_copy(self, fault: Fault) -> Any:
+        machine, chance = self.alive(fault), self.bad_callers
+        if machine is None or not machine.keyed:
+            return False
+        for _ in range(max(1, int(fault.amount))):
+            wait = chance.randrange(COPY_WITHIN) / SECOND
+            self.rude_reactor.callLater(wait, self.copy_key, machine, machine.lives)
+        return None
+
+    def copy_key(self, machine: Machine, life: int) -> None:
+        """Sends one key that the instance has read lately with another request, then its owner's repeat."""
+        if self.quiet or machine.lives != life or not machine.keyed:
+            return
+        chance, asked = self.bad_callers, self.bad_callers.choice(machine.keyed)
+        product = next(each for each in self.plan.products if each.name == asked.product)
+        owned = Want(
+            -1,
+            asked.product,
+            KINDS[product.kind],
+            asked.customer,
+            asked.key,
+            asked.size_kb,
+            product.expiry // MS,
+            product.expiry // MS,
+            base64.b64decode(asked.doc),
+        )
+        others = [f"c{n}" for n in range(self.plan.customers) if f"c{n}" != asked.customer]
+        changes = chance.choice(("body", "tenant", "both")) if others else "body"
+        copied = replace(
+            owned,
+            doc=owned.doc if changes == "tenant" else owned.doc + b" copied=1",
+            customer=owned.customer if changes == "body" else chance.choice(others),
+        )
+        copier = KeyCopier(owned, copied, self.rude_reactor, chance, machine.unix, self.ended)
+        self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, ConnectOnce(copier), timeout=1.0)
+
     def _clock_step(self, fault: Fault) -> Any:
         machine = self.machine(fault)
         machine.offset += int(fault.amount * SECOND)
--- /dev/null
+++ b/limeridge/standins/bad_callers.py
@@ -0,0 +1,114 @@
+"""Stand-ins for bad callers that are more than bad bytes: one that copies another's idempotency key.
+
+It owns what such a caller sends and when. It must never judge what comes back: the rules of the simulation
+read the wires of the instance.
+"""
+
+from __future__ import annotations
+
+import base64
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.internet.protocol import Protocol as Wire
+from twisted.python.failure import Failure
+
+from limeridge.standins.callers import Want, framed
+
+NUMBER = 9  # that a bad caller goes by
+REPEAT_WITHIN = 0.2  # seconds after a copy until its owner's repeat is sent
+
+
+def request(want: Want, number: int, ref: str, unix_ms: int, resent: bool = False) -> bytes:
+    """A whole request under the id `number`, framed."""
+    params: dict[str, object] = {
+        "i": ref,
+        "s": unix_ms,
+        "f": NUMBER,
+        "d": want.patience,
+        "m": want.size_kb,
+        "p": 0.5,
+        "doc": base64.b64encode(want.doc).decode(),
+    }
+    if want.customer:
+        params["t"] = want.customer
+    if want.key:
+        params["k"] = want.key
+    if resent:
+        params["r"] = 1
+    message = {"jsonrpc": "2.0", "id": number, "method": want.product, "params": params}
+    return framed(orjson.dumps(message))
+
+
+class ConnectOnce(ClientFactory):
+    """Gives one protocol to one connection."""
+
+    noisy = False
+
+    def __init__(self, protocol: Wire) -> None:
+        self.made = protocol
+
+    def buildProtocol(self, addr: object) -> Wire:
+        return self.made
+
+
+class BadCaller(Wire):
+    """One connection of a caller whose requests are whole. `unix` gives the seconds that it stamps on a
+    request, `over` hears of each ref that is answered or given up, as the platform does of any caller's."""
+
+    transport: Any
+
+    def __init__(
+        self, reactor: Any, chance: random.Random, unix: Callable[[], float], over: Callable[[str], None]
+    ) -> None:
+        self.reactor, self.chance, self.unix, self.over = reactor, chance, unix, over
+        self.data = b""
+        self.open: dict[int, str] = {}  # refs that wait for an answer, by id
+        self.sent = 0
+        self.timer: Any = None
+
+    def send(self, want: Want, resent: bool = False) -> str:
+        """The ref that the request was sent under."""
+        self.sent += 1
+        ref = self.open[self.sent] = f"{self.chance.getrandbits(64):016x}"
+        self.transport.write(request(want, self.sent, ref, int(self.unix() * 1_000), resent))
+        return ref
+
+    def dataReceived(self, data: bytes) -> None:
+        self.data += data
+        while (end := self.data.find(b"\r\n\r\n")) >= 0:
+            after = end + 4 + int(self.data[:end].split(b":")[1])
+            if len(self.data) < after:
+                return
+            message, self.data = orjson.loads(self.data[end + 4 : after]), self.data[after:]
+            self.answered(message)
+
+    def answered(self, message: dict[str, Any]) -> None:
+        ref = self.open.pop(message.get("id") or 0, "")
+        if ref:
+            self.over(ref)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        while self.open:
+            self.over(self.open.popitem()[1])
+
+
+class KeyCopier(BadCaller):
+    """Sends a request under a key that it copied, and a moment later a repeat as the key's owner sends it."""
+
+    def __init__(self, owned: Want, copied: Want, *usual: Any) -> None:
+        super().__init__(*usual)
+        self.owned, self.copied = owned, copied
+
+    def connectionMade(self) -> None:
+        self.send(self.copied)
+        self.timer = self.reactor.callLater(REPEAT_WITHIN * self.chance.random(), self.repeat)
+
+    def repeat(self) -> None:
+        self.send(self.owned, resent=True)
+        self.timer = self.reactor.callLater(self.owned.patience / 1_000, self.transport.loseConnection)
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -427,12 +427,12 @@
                 number,
                 ref,
                 product,
-                "",
+                more.get("customer", ""),
                 key,
                 self.now // 1_000,
                 more.get("patience", 1_000.0),
                 more.get("size", 1.0),
-                "Ym9keQ==",
+                more.get("doc", "Ym9keQ=="),
             )
         )
         return ref
@@ -527,6 +527,34 @@
     book.breaks("cursor", book.see, Command(10, "OPEN", "", "", "", cursor - 1, ""))
 
 
+def test_oracles_of_keys() -> None:
+    def owned() -> Book:
+        """A book with a keyed request that ended well, and whose result is kept."""
+        book = Book()
+        book.oracles.stepped = -10 * SECOND
+        owner = book.ask(1, "book", "k", customer="c0")
+        book.run(owner, "book")
+        book.note("REAP", owner, "ok", "cmVz")
+        book.answer(1, "settled", "cmVz")
+        book.go(100_000)
+        return book
+
+    for changes in ({"customer": "c1"}, {"customer": "c0", "doc": "b3RoZXI="}):
+        book = owned()
+        book.ask(2, "book", "k", **changes)
+        book.breaks("key-copied", book.answer, 2, "settled", "cmVz")
+        book = owned()
+        book.ask(2, "book", "k", **changes)
+        book.breaks("key-copied", book.answer, 2, "declined")
+        book = owned()
+        book.ask(2, "book", "k", **changes)
+        book.answer(2, "voided")
+        book.ask(3, "book", "k", customer="c0")
+        book.answer(3, "settled", "cmVz")
+        book.ask(4, "book", "k", customer="c0")
+        book.breaks("key-kept", book.answer, 4, "voided")
+
+
 def test_oracles_of_the_drain_and_of_what_a_server_survives() -> None:
     book = Book()
     book.oracles.stepped = -10 * SECOND
