--- a/limeridge/scale/collect.py
+++ b/limeridge/scale/collect.py
@@ -1,20 +1,15 @@
-"""Collects the readings of a sweep by cost and size, and makes its result out of them."""
+"""Collects the readings of a sweep by cost and size, and gives them as its series."""
 
 from __future__ import annotations
 
-import os
-import subprocess
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 
-from limeridge.scale.fit import fit
-from limeridge.scale.results import SCHEMA, Point, Role, Series, Situation, Size, Sweep, Unit
+from limeridge.scale.results import Point, Role, Series, Situation, Size, Unit
+from limeridge.scale.sweeps import Measured
 
 Progress = Callable[[str], None]
-GIBIBYTE = 1 << 30
-HERE = Path(__file__).resolve().parent
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +26,12 @@
 class Collector:
     """The readings of one sweep as it goes."""
 
-    def __init__(self, name: str, command: str, progress: Progress) -> None:
-        self.name, self.command, self.progress = name, command, progress
+    def __init__(self, progress: Progress) -> None:
+        self.progress = progress
         self.began = time.monotonic()
         self.readings: dict[Cost, dict[float, list[float]]] = {}
         self.notes: list[str] = []
+        self.failed: list[str] = []
 
     @property
     def elapsed(self) -> float:
@@ -52,41 +48,21 @@
             self.notes.append(text)
             self.progress(text)
 
+    def check(self, held: bool, text: str) -> None:
+        """A check of a quick sweep; the text is what failed where it does not hold."""
+        if not held:
+            self.failed.append(text)
+
     def points(self, cost: Cost) -> tuple[Point, ...]:
         """The readings of a cost by size, ascending."""
         by_size = self.readings.get(cost, {})
         return tuple(Point(size, tuple(readings)) for size, readings in sorted(by_size.items()))
 
-    def sweep(self) -> Sweep:
-        """The result as it stands."""
-        return Sweep(
-            schema=SCHEMA,
-            name=self.name,
-            revision=revision(),
-            cores=os.cpu_count() or 1,
-            memory_gib=memory_gib(),
-            command=self.command,
-            seconds=self.elapsed,
-            series=tuple(self._series(cost) for cost in self.readings),
-            notes=tuple(self.notes),
-        )
+    def measured(self) -> Measured:
+        """All as it stands."""
+        series = tuple(self._series(cost) for cost in self.readings)
+        return Measured(series, tuple(self.notes), tuple(self.failed))
 
     def _series(self, cost: Cost) -> Series:
         points = self.points(cost)
-        return Series(cost.name, cost.role, cost.situation, cost.against, cost.unit, points, fit(points))
-
-
-def revision() -> str:
-    """The commit of the measured code, with "+changes" where the work tree differs from it."""
-    commit = _git("rev-parse", "--short=10", "HEAD")
-    return commit + ("+changes" if _git("status", "--porcelain", "--untracked-files=no") else "")
-
-
-def _git(*words: str) -> str:
-    done = subprocess.run(["git", *words], cwd=HERE, capture_output=True, text=True, check=False)
-    return done.stdout.strip() if done.returncode == 0 else "unknown"
-
-
-def memory_gib() -> float:
-    """The machine's memory."""
-    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / GIBIBYTE
+        return Series(cost.name, cost.role, cost.situation, cost.against, cost.unit, points)
--- a/limeridge/scale/configuration_sweep.py
+++ b/limeridge/scale/configuration_sweep.py
@@ -8,22 +8,26 @@
 
 from __future__ import annotations
 
-import argparse
-import shlex
-import sys
 import tempfile
 import time
 from pathlib import Path
 
 from limeridge.scale.below import LOOPBACK, Below
-from limeridge.scale.collect import Collector, Cost, Progress
+from limeridge.scale.collect import Collector, Cost
 from limeridge.scale.generator import Generator
 from limeridge.scale.load import LoadOrder, Outcome, too_late
-from limeridge.scale.real_instance import LIFTED, PLAIN, RealInstance, Refused, reload_window
-from limeridge.scale.results import Situation, Size, Sweep, Unit, write
+from limeridge.scale.real_instance import (
+    LIFTED,
+    MOST_TENANTS,
+    PLAIN,
+    RealInstance,
+    Refused,
+    need_of,
+    reload_window,
+)
+from limeridge.scale.results import Situation, Size, Unit
+from limeridge.scale.sweeps import Measured, Request, Sweeping
 
-NAME = "configuration"
-COMMAND = "python -m limeridge.scale.configuration_sweep"
 TENANTS = (1_000, 10_000, 50_000, 100_000, 240_000)
 REPEATS = 3
 SETTLE = 0.3  # seconds from the first answer until memory is read
@@ -32,7 +36,7 @@
 RELOAD_AT = 0.2  # seconds into the window
 RELOADED_BY = 12.0  # seconds that a reload may take
 TRIES = 2  # of a window that the machine was too busy for
-QUICK_TENANTS = (10, 100, 1_000)
+QUICK_TENANTS = (10, 1_000)
 
 
 class ConfigurationSweep:
@@ -158,19 +162,19 @@
     return instance.file_bytes
 
 
-def run(quick: bool, progress: Progress) -> Sweep:
-    """The whole sweep in under 5 minutes; the quick one, of counts and bytes alone, in under 15 s."""
-    collector = Collector(NAME, COMMAND + (" --quick" if quick else ""), progress)
+def run(request: Request) -> Measured:
+    """The whole sweep in under 3 minutes; the quick one, of counts and bytes alone, in under 15 s."""
+    collector = Collector(request.progress)
     with Below() as below, tempfile.TemporaryDirectory() as folder:
         sweep = ConfigurationSweep(collector, below, Path(folder))
-        if quick:
-            _run_quick(sweep)
+        if request.quick:
+            _run_quick(sweep, request.sizes)
         else:
-            _run_full(sweep)
-    return collector.sweep()
+            _run_full(sweep, request.sizes)
+    return collector.measured()
 
 
-def _run_full(sweep: ConfigurationSweep) -> None:
+def _run_full(sweep: ConfigurationSweep, sizes: tuple[int, ...]) -> None:
     collector = sweep.collector
     collector.note(
         f"the longest turn is the longest wait of a health check, one each {1e3 / CHECK_RATE:g} ms, from the "
@@ -182,33 +186,32 @@
     collector.note("memory is private bytes, less those of an instance without tenants in the same repeat")
     for _ in range(REPEATS):
         sweep.take_reference()
-        for tenants in TENANTS:
+        for tenants in sizes:
             sweep.measure(tenants)
 
 
-def _run_quick(sweep: ConfigurationSweep) -> None:
-    for tenants in QUICK_TENANTS:
-        sweep.collector.progress(f"{tenants} tenants")
+def _run_quick(sweep: ConfigurationSweep, sizes: tuple[int, ...]) -> None:
+    collector = sweep.collector
+    for tenants in sizes:
+        collector.progress(f"{tenants} tenants")
         with sweep.start(tenants) as instance:
             file, change = instance.file_bytes, bytes_of_change(instance)
             for name, size in (("file", file), ("bytes to an instance", change)):
-                sweep.collector.add(Cost(name, Situation.CHANGE, Size.TENANTS, Unit.BYTES), tenants, size)
+                collector.add(Cost(name, Situation.CHANGE, Size.TENANTS, Unit.BYTES), tenants, size)
             instance.put_file()
             taken = instance.timed_reload(RELOADED_BY) is not None
         cost = Cost("reloads told in the log", Situation.CHANGE, Size.TENANTS, Unit.COUNT)
-        sweep.collector.add(cost, tenants, int(taken))
-
-
-def main() -> None:
-    """Writes the result to the file that is named."""
-    parser = argparse.ArgumentParser(COMMAND, description=__doc__)
-    parser.add_argument("--out", type=Path, required=True, metavar="FILE")
-    parser.add_argument("--quick", action="store_true", help="small sizes, counts and bytes alone")
-    words = parser.parse_args()
-    sweep = run(words.quick, lambda line: print(line, file=sys.stderr, flush=True))
-    write(words.out, sweep)
-    print(shlex.quote(str(words.out)), f"{sweep.seconds:.0f} s")
-
-
-if __name__ == "__main__":
-    main()
+        collector.add(cost, tenants, int(taken))
+        collector.check(taken, f"{tenants} tenants: the log tells no reload")
+
+
+SWEEP = Sweeping(
+    name="configuration",
+    about="what the configuration of so many tenants costs an instance",
+    sizes=TENANTS,
+    quick_sizes=QUICK_TENANTS,
+    least=1,
+    most=MOST_TENANTS,
+    run=run,
+    need=need_of,
+)
--- a/limeridge/scale/real_instance.py
+++ b/limeridge/scale/real_instance.py
@@ -21,6 +21,9 @@
 
 from limeridge.net.callers import frame
 from limeridge.scale.below import LOOPBACK, Ports
+from limeridge.scale.bounds import Need
+from limeridge.scale.meter import processor_seconds
+from limeridge.scale.sweeps import Request
 
 STARTED_BY = 60.0  # seconds until an instance must answer
 LOOK_EVERY = 0.002  # seconds between two looks
@@ -29,6 +32,9 @@
 HEARTBEAT = frame(b'{"jsonrpc":"2.0","id":1,"method":"heartbeat"}')
 RELOAD_WINDOW = 2.5  # seconds over which a reload is watched
 TENANTS_RELOADED = 60_000  # for each so many tenants a second more
+MOST_TENANTS = 1_000_000
+RIG_MEMORY, TENANT_MEMORY = 300 << 20, 2_500  # bytes of all processes, and of each tenant beside them
+RIG_PROCESSES, RIG_DESCRIPTORS = 4, 600
 PLAIN, LIFTED = "limeridge", "limeridge.scale.lifted"
 
 
@@ -94,6 +100,12 @@
     return RELOAD_WINDOW + tenants / TENANTS_RELOADED
 
 
+def need_of(request: Request) -> Need:
+    """What a sweep of one real instance takes of the machine."""
+    memory = RIG_MEMORY + TENANT_MEMORY * max(request.sizes)
+    return Need(memory, RIG_PROCESSES, RIG_DESCRIPTORS)
+
+
 def free_port() -> int:
     """A port of loopback that nobody listens on now."""
     with socket.socket() as made:
@@ -101,12 +113,6 @@
         return int(made.getsockname()[1])
 
 
-def processor_seconds(pid: int) -> float:
-    """What all threads of a process have used, to the nanosecond."""
-    tasks = Path(f"/proc/{pid}/task").iterdir()
-    return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks) / 1e9
-
-
 def memory_of(pid: int) -> Memory:
     """What a process holds now, and the most that it ever held."""
     rollup = _kilobytes(Path(f"/proc/{pid}/smaps_rollup"))
--- a/limeridge/scale/request_path.py
+++ b/limeridge/scale/request_path.py
@@ -8,36 +8,39 @@
 
 from __future__ import annotations
 
-import argparse
-import shlex
-import sys
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 
 from limeridge.scale.below import LOOPBACK, Below
-from limeridge.scale.collect import Collector, Cost, Progress
+from limeridge.scale.collect import Collector, Cost
 from limeridge.scale.generator import Generator
 from limeridge.scale.load import LoadOrder, Outcome, added, quantiles, too_late
-from limeridge.scale.real_instance import RealInstance, Refused, reload_window, tenant_name
-from limeridge.scale.results import Situation, Size, Sweep, Unit, write
+from limeridge.scale.real_instance import (
+    MOST_TENANTS,
+    RealInstance,
+    Refused,
+    need_of,
+    reload_window,
+    tenant_name,
+)
+from limeridge.scale.results import Situation, Size, Unit
+from limeridge.scale.sweeps import Measured, Request, Sweeping
 
-NAME = "request_path"
-COMMAND = "python -m limeridge.scale.request_path"
 TARGET_RATE = 124.0  # requests a second of one instance: 420,000 / 3,400
 LOSS_RATE = 149.0  # with one region of six lost
 RATES = (62.0, TARGET_RATE, LOSS_RATE, 248.0, 400.0)
 CONNECTIONS = (50, 125, 250, 375, 500)
 TENANTS = (200, 2_000, 20_000, 50_000, 100_000, 240_000)
 IN_USE, MANY_IN_USE = 200, 2_000  # tenants
-MANY_KNOWN = (2_000, 20_000, 100_000, 240_000)  # sizes at which many are in use, too
+MANY_KNOWN = (2_000, 100_000, 240_000)  # sizes at which many are in use, too
 BASE_TENANTS, BASE_CONNECTIONS = 20_000, 50
 REPEATS = 3
-WARM_UP, STEADY, SHORT = 1.0, 10.0, 5.0  # seconds of load
+WARM_UP, STEADY, SHORT = 0.5, 6.0, 2.5  # seconds of load
 RELOAD_AT = 0.5  # seconds into its window
 RELOAD_SECOND = 1.0  # seconds from the signal over which requests count as met by the reload, at the least
 TRIES = 2  # of a window that the machine was too busy for
-NO_MORE_AFTER = 480.0  # seconds after which nothing more is begun
+NO_MORE_AFTER = 270.0  # seconds after which nothing more is begun
 QUICK_TENANTS = (10, 1_000)
 QUICK_RATE, QUICK_SECONDS, QUICK_CONNECTIONS, QUICK_SEED = 100.0, 0.5, 10, 1
 
@@ -265,22 +268,22 @@
             )
 
 
-def run(quick: bool, progress: Progress) -> Sweep:
-    """The whole sweep in under 9 minutes; the quick one, of counts and bytes alone, in under 8 s."""
-    collector = Collector(NAME, COMMAND + (" --quick" if quick else ""), progress)
+def run(request: Request) -> Measured:
+    """The whole sweep in some 5 minutes; the quick one, of counts and bytes alone, in under 15 s."""
+    collector = Collector(request.progress)
     with Below() as below, tempfile.TemporaryDirectory() as folder:
         sweep = PathSweep(collector, below, Path(folder))
-        if quick:
-            _run_quick(sweep)
+        if request.quick:
+            _run_quick(sweep, request.sizes)
         else:
-            _run_full(sweep)
-    return collector.sweep()
+            _run_full(sweep, request.sizes)
+    return collector.measured()
 
 
-def _run_full(sweep: PathSweep) -> None:
+def _run_full(sweep: PathSweep, sizes: tuple[int, ...]) -> None:
     _note_conditions(sweep.collector)
     for repeat in range(REPEATS):
-        for tenants in TENANTS:
+        for tenants in sizes:
             if sweep.collector.elapsed < NO_MORE_AFTER:
                 sweep.against_tenants(tenants)
             else:
@@ -310,34 +313,35 @@
     collector.note("a request takes 0.5 to 3 ms of a core below the instance and makes no calls")
 
 
-def _run_quick(sweep: PathSweep) -> None:
-    load = Load(QUICK_RATE, QUICK_SECONDS, QUICK_CONNECTIONS, min(QUICK_TENANTS))
-    for tenants in QUICK_TENANTS:
-        sweep.collector.progress(f"{tenants} tenants known")
+def _run_quick(sweep: PathSweep, sizes: tuple[int, ...]) -> None:
+    collector = sweep.collector
+    load = Load(QUICK_RATE, QUICK_SECONDS, QUICK_CONNECTIONS, min(sizes))
+    for tenants in sizes:
+        collector.progress(f"{tenants} tenants known")
         with sweep.start(tenants) as instance:
             outcome = sweep.window(instance, load, seed=QUICK_SEED).outcome
+        both = len(added(outcome.through, outcome.direct))
         for name, count in (
             ("requests", len(outcome.due)),
-            ("requests answered both ways", len(added(outcome.through, outcome.direct))),
+            ("requests answered both ways", both),
             ("requests refused", outcome.refused),
             ("requests unanswered", outcome.unanswered),
         ):
-            cost = Cost(name, Situation.LOAD, Size.TENANTS, Unit.COUNT)
-            sweep.collector.add(cost, tenants, count)
+            collector.add(Cost(name, Situation.LOAD, Size.TENANTS, Unit.COUNT), tenants, count)
         cost = Cost("bytes of requests", Situation.LOAD, Size.TENANTS, Unit.BYTES)
-        sweep.collector.add(cost, tenants, outcome.bytes_out)
-
-
-def main() -> None:
-    """Writes the result to the file that is named."""
-    parser = argparse.ArgumentParser(COMMAND, description=__doc__)
-    parser.add_argument("--out", type=Path, required=True, metavar="FILE")
-    parser.add_argument("--quick", action="store_true", help="small sizes, counts and bytes alone")
-    words = parser.parse_args()
-    sweep = run(words.quick, lambda line: print(line, file=sys.stderr, flush=True))
-    write(words.out, sweep)
-    print(shlex.quote(str(words.out)), f"{sweep.seconds:.0f} s")
+        collector.add(cost, tenants, outcome.bytes_out)
+        collector.check(
+            both == len(outcome.due), f"{tenants} tenants: {both} of {len(outcome.due)} answered both ways"
+        )
 
 
-if __name__ == "__main__":
-    main()
+SWEEP = Sweeping(
+    name="request_path",
+    about="what an instance adds to a request, and what serving costs it",
+    sizes=TENANTS,
+    quick_sizes=QUICK_TENANTS,
+    least=1,
+    most=MOST_TENANTS,
+    run=run,
+    need=need_of,
+)
