--- a/limeridge/scale/configuration_sweep.py
+++ b/limeridge/scale/configuration_sweep.py
@@ -15,12 +15,14 @@
 import time
 from pathlib import Path
 
+from limeridge.scale import bounds
 from limeridge.scale.below import LOOPBACK, Below
 from limeridge.scale.collect import Collector, Cost, Progress
 from limeridge.scale.generator import Generator
 from limeridge.scale.load import LoadOrder, Outcome, too_late
 from limeridge.scale.real_instance import LIFTED, PLAIN, RealInstance, Refused, reload_window
 from limeridge.scale.results import Situation, Size, Sweep, Unit, write
+from limeridge.scale.sweeps import Measured, Request, Sweeping
 
 NAME = "configuration"
 COMMAND = "python -m limeridge.scale.configuration_sweep"
@@ -33,6 +35,8 @@
 RELOADED_BY = 12.0  # seconds that a reload may take
 TRIES = 2  # of a window that the machine was too busy for
 QUICK_TENANTS = (10, 100, 1_000)
+TENANTS_MOST = 1_000_000
+NEED_MEMORY, NEED_PROCESSES, NEED_DESCRIPTORS = 1 << 30, 4, 256  # bytes; counts
 
 
 class ConfigurationSweep:
@@ -158,19 +162,20 @@
     return instance.file_bytes
 
 
-def run(quick: bool, progress: Progress) -> Sweep:
-    """The whole sweep in under 5 minutes; the quick one, of counts and bytes alone, in under 15 s."""
+def run(quick: bool, progress: Progress, sizes: tuple[int, ...] = ()) -> Sweep:
+    """The whole sweep in under 5 minutes; the quick one, of counts and bytes alone, in under 15 s. `sizes`:
+    tenants, the usual numbers where none are given."""
     collector = Collector(NAME, COMMAND + (" --quick" if quick else ""), progress)
     with Below() as below, tempfile.TemporaryDirectory() as folder:
         sweep = ConfigurationSweep(collector, below, Path(folder))
         if quick:
-            _run_quick(sweep)
+            _run_quick(sweep, sizes or QUICK_TENANTS)
         else:
-            _run_full(sweep)
+            _run_full(sweep, sizes or TENANTS)
     return collector.sweep()
 
 
-def _run_full(sweep: ConfigurationSweep) -> None:
+def _run_full(sweep: ConfigurationSweep, sizes: tuple[int, ...]) -> None:
     collector = sweep.collector
     collector.note(
         f"the longest turn is the longest wait of a health check, one each {1e3 / CHECK_RATE:g} ms, from the "
@@ -182,12 +187,12 @@
     collector.note("memory is private bytes, less those of an instance without tenants in the same repeat")
     for _ in range(REPEATS):
         sweep.take_reference()
-        for tenants in TENANTS:
+        for tenants in sizes:
             sweep.measure(tenants)
 
 
-def _run_quick(sweep: ConfigurationSweep) -> None:
-    for tenants in QUICK_TENANTS:
+def _run_quick(sweep: ConfigurationSweep, sizes: tuple[int, ...]) -> None:
+    for tenants in sizes:
         sweep.collector.progress(f"{tenants} tenants")
         with sweep.start(tenants) as instance:
             file, change = instance.file_bytes, bytes_of_change(instance)
@@ -199,6 +204,29 @@
         sweep.collector.add(cost, tenants, int(taken))
 
 
+def needs(_: Request) -> bounds.Need:
+    """An instance, what stands below it and the generator, whatever the size."""
+    return bounds.Need(NEED_MEMORY, NEED_PROCESSES, NEED_DESCRIPTORS)
+
+
+def measure(request: Request) -> Measured:
+    """The sweep as the command runs it."""
+    sweep = run(request.quick, request.progress, request.sizes)
+    return Measured(sweep.series, sweep.notes)
+
+
+SWEEP = Sweeping(
+    name=NAME,
+    about="what the configuration of so many tenants costs an instance",
+    sizes=TENANTS,
+    quick_sizes=QUICK_TENANTS,
+    least=1,
+    most=TENANTS_MOST,
+    run=measure,
+    need=needs,
+)
+
+
 def main() -> None:
     """Writes the result to the file that is named."""
     parser = argparse.ArgumentParser(COMMAND, description=__doc__)
--- a/limeridge/scale/request_path.py
+++ b/limeridge/scale/request_path.py
@@ -15,12 +15,14 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from limeridge.scale import bounds
 from limeridge.scale.below import LOOPBACK, Below
 from limeridge.scale.collect import Collector, Cost, Progress
 from limeridge.scale.generator import Generator
 from limeridge.scale.load import LoadOrder, Outcome, added, quantiles, too_late
 from limeridge.scale.real_instance import RealInstance, Refused, reload_window, tenant_name
 from limeridge.scale.results import Situation, Size, Sweep, Unit, write
+from limeridge.scale.sweeps import Measured, Request, Sweeping
 
 NAME = "request_path"
 COMMAND = "python -m limeridge.scale.request_path"
@@ -39,6 +41,8 @@
 TRIES = 2  # of a window that the machine was too busy for
 NO_MORE_AFTER = 480.0  # seconds after which nothing more is begun
 QUICK_TENANTS = (10, 1_000)
+TENANTS_MOST = 1_000_000
+NEED_MEMORY, NEED_PROCESSES, NEED_DESCRIPTORS = 1 << 30, 5, 1_024  # bytes; counts
 QUICK_RATE, QUICK_SECONDS, QUICK_CONNECTIONS, QUICK_SEED = 100.0, 0.5, 10, 1
 
 
@@ -265,22 +269,23 @@
             )
 
 
-def run(quick: bool, progress: Progress) -> Sweep:
-    """The whole sweep in under 9 minutes; the quick one, of counts and bytes alone, in under 8 s."""
+def run(quick: bool, progress: Progress, sizes: tuple[int, ...] = ()) -> Sweep:
+    """The whole sweep in under 9 minutes; the quick one, of counts and bytes alone, in under 8 s. `sizes`:
+    tenants, the usual numbers where none are given."""
     collector = Collector(NAME, COMMAND + (" --quick" if quick else ""), progress)
     with Below() as below, tempfile.TemporaryDirectory() as folder:
         sweep = PathSweep(collector, below, Path(folder))
         if quick:
-            _run_quick(sweep)
+            _run_quick(sweep, sizes or QUICK_TENANTS)
         else:
-            _run_full(sweep)
+            _run_full(sweep, sizes or TENANTS)
     return collector.sweep()
 
 
-def _run_full(sweep: PathSweep) -> None:
+def _run_full(sweep: PathSweep, sizes: tuple[int, ...]) -> None:
     _note_conditions(sweep.collector)
     for repeat in range(REPEATS):
-        for tenants in TENANTS:
+        for tenants in sizes:
             if sweep.collector.elapsed < NO_MORE_AFTER:
                 sweep.against_tenants(tenants)
             else:
@@ -310,9 +315,9 @@
     collector.note("a request takes 0.5 to 3 ms of a core below the instance and makes no calls")
 
 
-def _run_quick(sweep: PathSweep) -> None:
-    load = Load(QUICK_RATE, QUICK_SECONDS, QUICK_CONNECTIONS, min(QUICK_TENANTS))
-    for tenants in QUICK_TENANTS:
+def _run_quick(sweep: PathSweep, sizes: tuple[int, ...]) -> None:
+    load = Load(QUICK_RATE, QUICK_SECONDS, QUICK_CONNECTIONS, min(sizes))
+    for tenants in sizes:
         sweep.collector.progress(f"{tenants} tenants known")
         with sweep.start(tenants) as instance:
             outcome = sweep.window(instance, load, seed=QUICK_SEED).outcome
@@ -328,6 +333,29 @@
         sweep.collector.add(cost, tenants, outcome.bytes_out)
 
 
+def needs(_: Request) -> bounds.Need:
+    """An instance, what stands below it and the generator, whatever the size."""
+    return bounds.Need(NEED_MEMORY, NEED_PROCESSES, NEED_DESCRIPTORS)
+
+
+def measure(request: Request) -> Measured:
+    """The sweep as the command runs it."""
+    sweep = run(request.quick, request.progress, request.sizes)
+    return Measured(sweep.series, sweep.notes)
+
+
+SWEEP = Sweeping(
+    name=NAME,
+    about="what an instance adds to a request, and what serving costs it",
+    sizes=TENANTS,
+    quick_sizes=QUICK_TENANTS,
+    least=1,
+    most=TENANTS_MOST,
+    run=measure,
+    need=needs,
+)
+
+
 def main() -> None:
     """Writes the result to the file that is named."""
     parser = argparse.ArgumentParser(COMMAND, description=__doc__)
--- a/limeridge/scale/sweeps.py
+++ b/limeridge/scale/sweeps.py
@@ -20,7 +20,7 @@
 
 MODULES = {
     "members": "limeridge.scale.members_sweep",
-    "path": "limeridge.scale.request_path",
+    "request_path": "limeridge.scale.request_path",
     "configuration": "limeridge.scale.configuration_sweep",
 }
 RESULTS_FOLDER = Path("docs/results/scale")
