--- a/limeridge/scale/charts.py
+++ b/limeridge/scale/charts.py
@@ -14,16 +14,16 @@
 
 from limeridge.scale.evidence import law_of
 from limeridge.scale.fit import extrapolate
-from limeridge.scale.results import Series, Situation, Size, Sweep, Unit
+from limeridge.scale.results import Role, Series, Situation, Size, Sweep, Unit
 from limeridge.scale.target import USERS_TARGET
 
 matplotlib.use("svg")
 
 COLUMNS = 3
 PANEL = (4.6, 3.2)  # inches
-MARGIN, GAP = 0.08, 0.35  # parts of the figure, and of a panel
+MARGIN, GAP = 0.07, 0.35  # parts of the figure, and of a panel
 CURVES_MOST = 8  # of one panel; what is more is left to the tables
-LAW_POINTS = 25
+LAW_POINTS = 12
 ORDINARY = (
     Situation.REST,
     Situation.CHURN,
@@ -57,22 +57,25 @@
     ):
         rows = max(1, math.ceil(len(panels) / COLUMNS))
         figure = Figure(figsize=(PANEL[0] * COLUMNS, PANEL[1] * rows))
-        figure.subplots_adjust(MARGIN, MARGIN / rows, 1 - MARGIN, 1 - MARGIN / rows, GAP, GAP)
-        grid = figure.subplots(rows, COLUMNS, squeeze=False).flat
+        figure.subplots_adjust(MARGIN, MARGIN / rows, 1 - MARGIN, 1 - 3 * MARGIN / rows, GAP, GAP)
+        grid = list(figure.subplots(rows, COLUMNS, squeeze=False).flat)
         for axes, series in zip(grid, panels, strict=False):
             draw_panel(axes, series)
-        for axes in list(grid)[len(panels) :]:
+        for axes in grid[len(panels) :]:
             axes.set_axis_off()
-        figure.suptitle(f"{sweep.name}, {sweep.revision.partition('+')[0][:10]}, {sweep.cores} cores")
+        title = f"{sweep.name}, {sweep.revision.partition('+')[0][:10]}, {sweep.cores} cores"
+        figure.suptitle(title, x=MARGIN, y=1 - MARGIN / rows / 2, horizontalalignment="left")
         figure.savefig(path, format="svg", metadata={"Date": None, "Creator": None})
 
 
 def panels_of(sweep: Sweep, used: frozenset[str]) -> list[list[Series]]:
     """The curves of each cost and size, ordinary situations alone."""
-    panels: dict[tuple[str, Size, Unit], list[Series]] = {}
+    panels: dict[tuple[str, Size, Unit, bool], list[Series]] = {}
     for series in sweep.series:
         if series.cost in used and series.situation in ORDINARY and len(series.points) > 1:
-            panels.setdefault((series.cost, series.against, series.unit), []).append(series)
+            shared = series.role is Role.SERVICE_DISCOVERY  # the whole fleet's: another scale
+            key = (series.cost, series.against, series.unit, shared)
+            panels.setdefault(key, []).append(series)
     return [curves[:CURVES_MOST] for curves in panels.values()]
 
 
@@ -90,8 +93,7 @@
         label = f"{series.role.value}, {series.situation.value}"
         axes.errorbar(sizes, means, yerr=spread, fmt="o", markersize=3, color=color, label=label)
         draw_law(axes, series, color)
-    axes.set_xscale("log")
-    axes.minorticks_off()
+    axes.set_xlim(left=0)
     axes.set_ylim(bottom=0)
     axes.set_title(first.cost)
     axes.set_xlabel(first.against.value)
@@ -106,10 +108,7 @@
         return
     smallest = min(point.size for point in series.points)
     furthest = max(law.largest_size, TARGETS.get(series.against, 0.0))
-    sizes = [float(size) for size in np.geomspace(smallest, furthest, LAW_POINTS)]
-    costs = [extrapolate(law, size).value for size in sizes]
-    inside = [place for place, size in enumerate(sizes) if size <= law.largest_size]
-    axes.plot(
-        [sizes[place] for place in inside], [costs[place] for place in inside], color=color, linewidth=0.8
-    )
-    axes.plot(sizes, costs, ":", color=color, linewidth=0.8)
+    for begin, end, style in ((smallest, law.largest_size, "-"), (law.largest_size, furthest, ":")):
+        sizes = [float(size) for size in np.linspace(begin, end, LAW_POINTS)]
+        costs = [extrapolate(law, size).value for size in sizes]
+        axes.plot(sizes, costs, style, color=color, linewidth=0.8)
--- a/limeridge/scale/failures.py
+++ b/limeridge/scale/failures.py
@@ -9,8 +9,6 @@
 import math
 
 from limeridge.peers.members import TELL_FACTOR
-from limeridge.peers.messages import DATAGRAM_MOST
-from limeridge.peers.peer import CLAIM_BYTES, HEAD_BYTES
 from limeridge.peers.probing import Pace
 from limeridge.peers.shares import Terms
 from limeridge.scale import assumptions as take
@@ -31,7 +29,7 @@
 
 RACK = Quantity(40, INSTANCE)
 VOTERS = tuple("12345")  # as many as there are machines set aside in the users' target
-NEWS_BYTES = 20  # of a claim's names, address and zone
+CLAIMS_OF_A_DATAGRAM = Quantity(14)
 MEAN_ROUNDS = math.e / (math.e - 1)  # until a member is probed by one of all that probe in turn
 NEWS_A_SECOND = Quantity(3) / seconds(1)
 LIST_LAPSE = seconds(3)
@@ -43,8 +41,8 @@
 )
 NEWS = Assumption(
     "telling",
-    "three datagrams a second carry news, filled with claims of 72 bytes; each is told as often as the code "
-    "has it",
+    "three datagrams a second carry news, with 14 claims of 72 bytes in each; a claim is told as often as "
+    "the code has it",
 )
 RACK_SIZE = Assumption("rack", "a rack or switch has 40 instances behind it")
 LIST_STALE = Assumption(
@@ -85,9 +83,8 @@
 def news_time(target: Target, lives: Quantity) -> Figure:
     """How long the news of so many lives take up all room that datagrams have for news."""
     tellings = Quantity(TELL_FACTOR * int(target.instances.value).bit_length())
-    claims = Quantity((DATAGRAM_MOST - HEAD_BYTES) // (CLAIM_BYTES + NEWS_BYTES))
-    time = lives / ONE_INSTANCE * tellings / claims / NEWS_A_SECOND
-    return assumed(time, NEWS, f"{lives} x {tellings} / {claims} / ({NEWS_A_SECOND})")
+    time = lives / ONE_INSTANCE * tellings / CLAIMS_OF_A_DATAGRAM / NEWS_A_SECOND
+    return assumed(time, NEWS, f"{lives} x {tellings} / {CLAIMS_OF_A_DATAGRAM} / ({NEWS_A_SECOND})")
 
 
 # ---- events
--- a/limeridge/scale/findings.py
+++ b/limeridge/scale/findings.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass
 
 from limeridge.config import SETTINGS
-from limeridge.net.service import TAKEN
 from limeridge.scale import assumptions as take
-from limeridge.scale.configured import Configured
+from limeridge.scale.configured import Configured, current
 from limeridge.scale.evidence import Basis, Evidence, Figure
 from limeridge.scale.quantities import INSTANCE, Quantity
 from limeridge.scale.references import LONGEST_TURN, MEMORY_AFTER_START, RELOAD_TIME, member_cost
@@ -68,7 +67,7 @@
     )
     yield Finding(
         "SIGHUP takes over three addresses, the time to stop and the cores alone",
-        f"it takes over {len(TAKEN)} settings: {', '.join(TAKEN)}",
+        "tenants change in a running process" if current(target, evidence) != was else "so it is",
         "the brain was built for one set of tenants, classes and limits",
     )
     yield Finding(
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -9,7 +9,7 @@
 from limeridge.facade import RESULTS_KEPT
 from limeridge.net.nodelist import EVERY as REPORT_EVERY
 from limeridge.peers.messages import STREAM_MOST
-from limeridge.peers.peer import Habits
+from limeridge.peers.probing import Pace
 from limeridge.scale import assumptions as take
 from limeridge.scale.configured import Configured, both, current
 from limeridge.scale.evidence import Evidence, Fallback, Figure, assumed, resting_on, stated
@@ -221,7 +221,6 @@
 
 def messages(target: Target, evidence: Evidence) -> Iterator[Message]:
     """What an instance sends, one row a kind."""
-    habits = Habits()
     packets = evidence.at(
         member_cost(Role.MEMBER, "packets out"),
         target.instances,
@@ -243,7 +242,7 @@
         Part.CONTROL,
         "its whole table of members",
         "one member, and back",
-        each_interval(microseconds(habits.sync)),
+        each_interval(microseconds(Pace().interval) * take.ROUNDS_BETWEEN_TABLES),
         largest,
         MEMBERSHIP_MODULES,
     )
