--- a/limeridge/cli/capacity.py
+++ b/limeridge/cli/capacity.py
@@ -15,11 +15,12 @@
 from rich.table import Table
 
 from limeridge.scale import report as reporting
+from limeridge.scale.capacity import capacity
 from limeridge.scale.evidence import Evidence, Figure
-from limeridge.scale.model import Model, Row, capacity
+from limeridge.scale.model import Model, Row
 from limeridge.scale.quantities import Quantity, ratio_text
 from limeridge.scale.results import UnusableResult
-from limeridge.scale.target import SCALABLE, USERS_TARGET, at_sizes
+from limeridge.scale.target import SCALABLE, USERS_TARGET, OutOfRange, at_sizes
 
 RESULTS_FOLDER = Path("docs/results/scale")
 PAGE = Path("docs/CAPACITY.md")
@@ -109,7 +110,10 @@
 @AS_JSON
 def plan(folder: Path, as_json: bool, **sizes: int | None) -> None:
     """What each role needs at other sizes, against its budget."""
-    target = at_sizes({name: float(size) for name, size in sizes.items() if size is not None})
+    try:
+        target = at_sizes({name: float(size) for name, size in sizes.items() if size is not None})
+    except OutOfRange as bad:
+        raise click.UsageError(f"{OPTIONS[bad.name]}: {bad.fault}") from None
     model = capacity(target, evidence_of(folder))
     if as_json:
         click.echo(orjson.dumps(told(model)))
--- a/limeridge/scale/failures.py
+++ b/limeridge/scale/failures.py
@@ -16,6 +16,7 @@
 from limeridge.scale.evidence import Assumption, Evidence, Figure, assumed, stated
 from limeridge.scale.model import Failure
 from limeridge.scale.quantities import (
+    DAY,
     FAILURE,
     INSTANCE,
     Quantity,
@@ -123,7 +124,7 @@
         noticed_by="members of all zones, each by its own probes; callers by service discovery",
         noticed_after=known_to_all_after(target),
         costs=(
-            ("part of the fleet", part),
+            ("part of the fleet, and of requests until callers know", part),
             ("requests a second at each one left", stated(load)),
             ("news fill datagrams for", news_time(target, lost)),
             *spent(target, evidence, situation),
@@ -206,8 +207,10 @@
 
 
 def ratio_of(one: Quantity, other: Quantity) -> str:
+    """In percent."""
     return f"{100 * (one / other).number:.0f}%"
 
 
 def per_day(rate: Quantity) -> str:
-    return f"{rate.value * 86_400:,.0f}"
+    """How many there are in a day."""
+    return f"{(rate * DAY).value:,.0f}"
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -45,6 +45,7 @@
 
 
 def added_time(target: Target) -> Budget:
+    """What may be added to 99 in 100 requests."""
     return Budget(target.added_time, LOAD_SENTENCE)
 
 
--- a/limeridge/scale/model.py
+++ b/limeridge/scale/model.py
@@ -1,4 +1,4 @@
-"""The model of capacity: what each role of a fleet needs at a size, against its budget.
+"""What the model of capacity is made of: rows of needs against budgets, states, messages, failures.
 
 A row is one cost of one role. What it needs is a figure that names the series or the assumptions it rests on;
 the mechanism that carries it is named by its modules.
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from limeridge.scale.evidence import Assumption, Basis, Evidence, Figure, Reference
+from limeridge.scale.evidence import Assumption, Basis, Figure, Reference
 from limeridge.scale.quantities import Quantity
 from limeridge.scale.target import Target
 
@@ -184,16 +184,3 @@
     def not_measured(self) -> list[Row]:
         """Rows whose series is not there."""
         return [row for row in self.rows if row.needed.basis is Basis.NOT_MEASURED]
-
-
-def capacity(target: Target, evidence: Evidence) -> Model:
-    """The model at a size, from results."""
-    from limeridge.scale import failures, instance_rows, shared_rows
-
-    return Model(
-        target,
-        (*instance_rows.rows(target, evidence), *shared_rows.rows(target, evidence)),
-        (*instance_rows.states(target, evidence), *shared_rows.states(target, evidence)),
-        (*instance_rows.messages(target, evidence), *shared_rows.messages(target, evidence)),
-        failures.all_failures(target, evidence),
-    )
--- a/limeridge/scale/quantities.py
+++ b/limeridge/scale/quantities.py
@@ -135,10 +135,12 @@
 
 
 def of_bytes(number: float) -> Quantity:
+    """An amount of memory or of a message."""
     return Quantity(number, BYTE)
 
 
 def seconds(number: float) -> Quantity:
+    """A time."""
     return Quantity(number, SECOND)
 
 
@@ -148,10 +150,12 @@
 
 
 def bytes_per_second(number: float) -> Quantity:
+    """A rate of traffic."""
     return Quantity(number, BYTE / SECOND)
 
 
 def cores(number: float) -> Quantity:
+    """Processor seconds per second."""
     return Quantity(number, CORE)
 
 
--- a/limeridge/scale/report.py
+++ b/limeridge/scale/report.py
@@ -10,9 +10,9 @@
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
+from limeridge.scale.capacity import capacity
 from limeridge.scale.capacity_tables import sections
 from limeridge.scale.evidence import Evidence, stale_fit
-from limeridge.scale.model import capacity
 from limeridge.scale.target import USERS_TARGET
 
 BEGIN = re.compile(r"<!-- generated: (.+) -->")
--- a/limeridge/scale/target.py
+++ b/limeridge/scale/target.py
@@ -84,10 +84,12 @@
 
     @property
     def instances_of_a_region(self) -> Quantity:
+        """In equal parts, not rounded to whole instances."""
         return self.instances / self.regions * ONE_REGION
 
     @property
     def instances_of_a_zone(self) -> Quantity:
+        """In equal parts, not rounded to whole instances."""
         return self.instances / self.zones * ONE_ZONE
 
     @property
@@ -157,18 +159,35 @@
 
 
 class OutOfRange(ValueError):
-    """One line: the figure, its range and what was given."""
+    """One line: the figure of the target, what was expected and what was given."""
+
+    def __init__(self, name: str, fault: str) -> None:
+        super().__init__(f"{name}: {fault}")
+        self.name = name
+        self.fault = fault
 
 
 def at_sizes(sizes: Mapping[str, float]) -> Target:
-    """The target with other sizes, by the names of SCALABLE. Raises OutOfRange."""
+    """The target with other sizes, by the names of SCALABLE.
+
+    Raises OutOfRange for a size out of its range, or where a region would have no zone or one no instance.
+    """
     given: dict[str, Quantity] = {}
     for name, size in sizes.items():
         known = SCALABLE[name]
         if not known.least <= size <= known.most:
-            raise OutOfRange(f"{name}: expected {known.least:,} to {known.most:,}, got {size:,g}")
+            raise OutOfRange(name, f"expected {known.least:,} to {known.most:,}, got {size:,g}")
         given[name] = Quantity(size) * known.unit
-    return replace(USERS_TARGET, **given)
+    target = replace(USERS_TARGET, **given)
+    _refuse_fewer(target, "zones", "regions")
+    _refuse_fewer(target, "instances", "zones")
+    return target
+
+
+def _refuse_fewer(target: Target, many: str, few: str) -> None:
+    most, least = getattr(target, many).value, getattr(target, few).value
+    if most < least:
+        raise OutOfRange(many, f"expected {least:,g} or more, as many as {few}, got {most:,g}")
 
 
 # ---- how callers spread over instances
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,15 +14,24 @@
 from limeridge.brain import IDLE_LIMITS
 from limeridge.cli.capacity import OPTIONS, PAGE, RESULTS_FOLDER, plan, report
 from limeridge.scale import evidence as evidence_module
+from limeridge.scale.capacity import capacity
 from limeridge.scale.charts import write_chart
 from limeridge.scale.evidence import Basis, Evidence, Fallback, Figure, Reference
 from limeridge.scale.fit import fit
-from limeridge.scale.model import Model, Part, Row, capacity
+from limeridge.scale.model import Model, Part, Row
 from limeridge.scale.quantities import BYTE, CORE, SECOND, MixedUnits, Quantity, microseconds, text
 from limeridge.scale.references import CONFIGURATION, member_cost
 from limeridge.scale.report import BEGIN, END, first_difference, generated
 from limeridge.scale.results import SCHEMA, Point, Role, Series, Sweep, write
-from limeridge.scale.target import IDLE_MOST, SCALABLE, SENTENCES, USERS_TARGET, at_sizes, counted_reading
+from limeridge.scale.target import (
+    IDLE_MOST,
+    SCALABLE,
+    SENTENCES,
+    USERS_TARGET,
+    OutOfRange,
+    at_sizes,
+    counted_reading,
+)
 
 ROOT = Path(__file__).parent.parent
 SIZE_PARTS = (1 / 64, 1 / 32, 1 / 16, 1 / 8, 1 / 4)  # of the target's size
@@ -293,8 +302,10 @@
         with pytest.raises(click.BadParameter) as refused:
             plan.main([OPTIONS[name], str(size), "--results", str(folder)], standalone_mode=False)
         assert refused.value.exit_code == 2 and OPTIONS[name] in refused.value.format_message()
-        with pytest.raises(ValueError, match=name):
+        with pytest.raises(OutOfRange, match=name):
             at_sizes({name: size})
+    with pytest.raises(click.UsageError, match="--zones"):
+        plan.main(["--regions", "19", "--results", str(folder)], standalone_mode=False)
 
 
 def test_plan_answers_for_other_sizes(folder: Path) -> None:
