--- a/limeridge/scale/assumptions.py
+++ b/limeridge/scale/assumptions.py
@@ -62,6 +62,17 @@
     "the time that may be added",
 )
 
+HOLLOW = Assumption(
+    "hollow members",
+    "a hollow member's processor and memory are its part of a process that holds many; for control an "
+    "instance takes no more of them than that",
+)
+CHURN = Assumption(
+    "replacements in the sweep",
+    "the sweep replaces more members in its window than the target's mean would (its notes say how often); "
+    "the figure is not scaled down to the mean",
+)
+
 # ---- costs that no series gives
 
 VOTERS_ON_INSTANCES = Assumption(
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -98,11 +98,11 @@
     target: Target, evidence: Evidence, part: Part, role: Role, modules: tuple[str, ...]
 ) -> Iterator[Row]:
     """What one member in a role spends on all its peers' code, at rest and under the day's replacements."""
-    on_instance = () if role is Role.MEMBER else (take.VOTERS_ON_INSTANCES,)
+    taken = [take.HOLLOW] if role is Role.MEMBER else [take.HOLLOW, take.VOTERS_ON_INSTANCES]
 
     def at(cost: str, situation: Situation, fallback: Fallback) -> Figure:
         found = evidence.at(member_cost(role, cost, situation), target.instances, fallback)
-        for assumption in on_instance:
+        for assumption in [*taken, take.CHURN] if situation is Situation.CHURN else taken:
             found = resting_on(found, assumption)
         return found
 
