--- a/limeridge/scale/capacity_tables.py
+++ b/limeridge/scale/capacity_tables.py
@@ -140,7 +140,7 @@
         (
             state.what,
             str(state.entries),
-            f"{state.each.value} = {state.each.formula}",
+            worked_out(state.each),
             modules_cell(state.mechanism),
             rests_on(state.each.sources, state.each.assumptions),
         )
@@ -170,6 +170,12 @@
     return lines
 
 
+def worked_out(figure: Figure) -> str:
+    """The value, with its formula where that says more."""
+    value = str(figure.value)
+    return figure.formula if figure.formula.startswith(value) else f"{value} = {figure.formula}"
+
+
 def cost_table(rows: Iterable[Row]) -> Lines:
     """Each cost as slope x size, against its budget."""
     head = (
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -42,6 +42,7 @@
 FILE_MODULES = ("limeridge.config",)
 TABLE_MODULES = ("limeridge.configuration",)
 SUSTAINED = (Situation.REST, Situation.CHURN)
+SUSTAINED_OF = {Role.DUTY_HOLDER: (Situation.REST,)}  # its fleet deals by need and is measured at rest alone
 
 
 def added_time(target: Target) -> Budget:
@@ -68,15 +69,15 @@
     reading = counted_reading(target)
     lost = target.rate_with_region_lost
     sizes = (
-        ("tenants known", ADDED_P99, target.tenants, None),
-        ("requests, one region lost", ADDED_P99_BY_RATE, lost, take.EVEN_LOAD),
-        ("connections", ADDED_P99_BY_CONNECTIONS, reading.connections, take.CALLERS),
+        ("with {} known", ADDED_P99, target.tenants, None),
+        ("at {}, one region lost", ADDED_P99_BY_RATE, lost, take.EVEN_LOAD),
+        ("with {}", ADDED_P99_BY_CONNECTIONS, reading.connections, take.CALLERS),
     )
     for what, reference, size, assumption in sizes:
         needed = evidence.at(reference, size, take.ADDED_TIME)
         if assumption is not None:
             needed = resting_on(needed, assumption)
-        cost = f"time added at p99, {size} ({what})"
+        cost = f"time added at p99 {what.format(size)}"
         yield Row(Part.PATH, cost, needed, added_time(target), PATH_MODULES)
     slowest = evidence.at(ADDED_BY_RELOAD, target.tenants, take.ADDED_BY_RELOAD)
     yield Row(
@@ -107,7 +108,8 @@
         return found
 
     processor, traffic = fallbacks_of(role)
-    for situation in SUSTAINED:
+    situations = SUSTAINED_OF.get(role, SUSTAINED)
+    for situation in situations:
         yield Row(
             part,
             f"processor, {situation.value}",
@@ -131,8 +133,8 @@
     )
     yield Row(
         part,
-        "largest message, replacements one by one",
-        at("largest message", Situation.CHURN, take.LARGEST_MESSAGE),
+        f"largest message, {situations[-1].value}",
+        at("largest message", situations[-1], take.LARGEST_MESSAGE),
         Budget(of_bytes(STREAM_MOST), "the bound on one message in limeridge.peers.messages"),
         modules,
     )
@@ -261,7 +263,7 @@
         Part.VOTER,
         "a new view",
         "each other voter",
-        assumed(new_views, take.VIEW_A_REPLACEMENT, f"{target.replacement_rate}"),
+        assumed(new_views, take.VIEW_A_REPLACEMENT, f"2 x {target.replacement_rate}"),
         view,
         VIEW_MODULES,
     )
--- a/limeridge/scale/quantities.py
+++ b/limeridge/scale/quantities.py
@@ -166,6 +166,7 @@
 
 # ---- text
 
+_SELDOM = {each / SECOND for each in (CHANGE, REPLACEMENT, FAILURE)}  # told by the day
 _PREFIXES = ((1e12, "T"), (1e9, "G"), (1e6, "M"), (1e3, "K"))
 
 
@@ -179,6 +180,8 @@
         return _digits(quantity.value)
     if ("byte", 1) in quantity.unit.powers:
         return _prefixed(quantity)
+    if quantity.unit in _SELDOM and abs(quantity.value) < 1:
+        return f"{text(Quantity(quantity.value * DAY.value, quantity.unit * SECOND))}/day"
     return f"{_digits(quantity.value)} {_suffix(quantity.unit, quantity.value)}"
 
 
