--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -9,7 +9,7 @@
 from limeridge.facade import RESULTS_KEPT
 from limeridge.net.nodelist import EVERY as REPORT_EVERY
 from limeridge.peers.messages import STREAM_MOST
-from limeridge.peers.peer import Habits
+from limeridge.peers.probing import Pace
 from limeridge.scale import assumptions as take
 from limeridge.scale.configured import Configured, both, current
 from limeridge.scale.evidence import Evidence, Fallback, Figure, assumed, resting_on, stated
@@ -42,9 +42,11 @@
 FILE_MODULES = ("limeridge.config",)
 TABLE_MODULES = ("limeridge.configuration",)
 SUSTAINED = (Situation.REST, Situation.CHURN)
+SUSTAINED_OF = {Role.DUTY_HOLDER: (Situation.REST,)}  # its fleet deals by need and is measured at rest alone
 
 
 def added_time(target: Target) -> Budget:
+    """What may be added to 99 in 100 requests."""
     return Budget(target.added_time, LOAD_SENTENCE)
 
 
@@ -67,15 +69,15 @@
     reading = counted_reading(target)
     lost = target.rate_with_region_lost
     sizes = (
-        ("tenants known", ADDED_P99, target.tenants, None),
-        ("requests, one region lost", ADDED_P99_BY_RATE, lost, take.EVEN_LOAD),
-        ("connections", ADDED_P99_BY_CONNECTIONS, reading.connections, take.CALLERS),
+        ("with {} known", ADDED_P99, target.tenants, None),
+        ("at {}, one region lost", ADDED_P99_BY_RATE, lost, take.EVEN_LOAD),
+        ("with {}", ADDED_P99_BY_CONNECTIONS, reading.connections, take.CALLERS),
     )
     for what, reference, size, assumption in sizes:
         needed = evidence.at(reference, size, take.ADDED_TIME)
         if assumption is not None:
             needed = resting_on(needed, assumption)
-        cost = f"time added at p99, {size} ({what})"
+        cost = f"time added at p99 {what.format(size)}"
         yield Row(Part.PATH, cost, needed, added_time(target), PATH_MODULES)
     slowest = evidence.at(ADDED_BY_RELOAD, target.tenants, take.ADDED_BY_RELOAD)
     yield Row(
@@ -97,16 +99,17 @@
     target: Target, evidence: Evidence, part: Part, role: Role, modules: tuple[str, ...]
 ) -> Iterator[Row]:
     """What one member in a role spends on all its peers' code, at rest and under the day's replacements."""
-    on_instance = () if role is Role.MEMBER else (take.VOTERS_ON_INSTANCES,)
+    taken = [take.HOLLOW] if role is Role.MEMBER else [take.HOLLOW, take.VOTERS_ON_INSTANCES]
 
     def at(cost: str, situation: Situation, fallback: Fallback) -> Figure:
         found = evidence.at(member_cost(role, cost, situation), target.instances, fallback)
-        for assumption in on_instance:
+        for assumption in [*taken, take.CHURN] if situation is Situation.CHURN else taken:
             found = resting_on(found, assumption)
         return found
 
     processor, traffic = fallbacks_of(role)
-    for situation in SUSTAINED:
+    situations = SUSTAINED_OF.get(role, SUSTAINED)
+    for situation in situations:
         yield Row(
             part,
             f"processor, {situation.value}",
@@ -130,8 +133,8 @@
     )
     yield Row(
         part,
-        "largest message, replacements one by one",
-        at("largest message", Situation.CHURN, take.LARGEST_MESSAGE),
+        f"largest message, {situations[-1].value}",
+        at("largest message", situations[-1], take.LARGEST_MESSAGE),
         Budget(of_bytes(STREAM_MOST), "the bound on one message in limeridge.peers.messages"),
         modules,
     )
@@ -221,7 +224,6 @@
 
 def messages(target: Target, evidence: Evidence) -> Iterator[Message]:
     """What an instance sends, one row a kind."""
-    habits = Habits()
     packets = evidence.at(
         member_cost(Role.MEMBER, "packets out"),
         target.instances,
@@ -243,7 +245,7 @@
         Part.CONTROL,
         "its whole table of members",
         "one member, and back",
-        each_interval(microseconds(habits.sync)),
+        each_interval(microseconds(Pace().interval) * take.ROUNDS_BETWEEN_TABLES),
         largest,
         MEMBERSHIP_MODULES,
     )
@@ -261,7 +263,7 @@
         Part.VOTER,
         "a new view",
         "each other voter",
-        assumed(new_views, take.VIEW_A_REPLACEMENT, f"{target.replacement_rate}"),
+        assumed(new_views, take.VIEW_A_REPLACEMENT, f"2 x {target.replacement_rate}"),
         view,
         VIEW_MODULES,
     )
