Split the member of a fleet into parts with one job each

It is now the order in which its parts hear of things, and the parts are modules of their own: updates (what a claim changes here), dissemination (what a ping or ack carries), prober and relays (probes on the wire, and those made for others), table_exchange, discovery (seeds, the list, members held dead), share_exchange (voters, holders, views), guests, observer (what is logged), outbox, habits. Address moved to members.py and the sizes on the wire to messages.py. Whether a member leaves is read from its own claim in place of a second flag. Setters that link.py and the simulation used are methods or attributes of the parts (deal_by, discovery.reads_list, outbox.take_sends).

tests/test_peers.py: the same checks, by the parts' names; Discovery._reach_out is disabled in place of Peer._reach_out.

--- a/limeridge/duty/guest.py
+++ b/limeridge/duty/guest.py
@@ -9,7 +9,7 @@
 from limeridge.duty.allotting import Allotting
 from limeridge.duty.member import Duties
 from limeridge.peers.members import Claim
-from limeridge.peers.peer import Event
+from limeridge.peers.outbox import Event
 
 
 class DutyGuest:
--- /dev/null
+++ b/limeridge/peers/discovery.py
@@ -0,0 +1,96 @@
+"""How members are found: by the seeds of the settings, by service discovery, and again after a cut.
+
+It owns when each of these is tried. It must never take an address for a member: whoever answers there says
+who it is.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+
+from limeridge.peers.dissemination import Dissemination
+from limeridge.peers.habits import Habits
+from limeridge.peers.members import Address, Members, State
+from limeridge.peers.outbox import Outbox
+from limeridge.peers.seeds import Seeker
+from limeridge.peers.table_exchange import TableExchange
+
+MISSING_SEED_CHANCE = 0.25  # that one who knows others tries a seed that is none of them
+
+
+class Discovery:
+    """Tries seeds, listed addresses and members that are held dead."""
+
+    def __init__(
+        self,
+        members: Members,
+        seeds: Sequence[Address],
+        seeker: Seeker | None,
+        tables: TableExchange,
+        dissemination: Dissemination,
+        habits: Habits,
+        chance: random.Random,
+        outbox: Outbox,
+        now: int,
+    ) -> None:
+        """`seeker`: decides when service discovery is asked; None where it is not to be asked."""
+        self.members, self.seeker, self.tables = members, seeker, tables
+        self.seeds = [seed for seed in seeds if seed != members.own.address]
+        self.dissemination, self.habits, self.chance = dissemination, habits, chance
+        self.outbox = outbox
+        self.reads_list: Callable[[int], bool] | None = None  # whether this member reads it for others too
+        self.list_wanted = False  # until whoever drives the member has asked for the list
+        self.next_reach_out = now
+
+    def next_at(self) -> int:
+        """When something is to be tried next, microseconds."""
+        if self.seeker is None:
+            return self.next_reach_out
+        return min(self.next_reach_out, self.seeker.next_at)
+
+    def wake(self, now: int) -> None:
+        """To be called at `next_at` or soon after."""
+        if self.seeker is not None and now >= self.seeker.next_at:
+            self._seek(self.seeker, now)
+        if now >= self.next_reach_out:
+            self.next_reach_out = now + self.habits.reach_out
+            self._reach_out()
+
+    def listed(self, words: Sequence[str]) -> None:
+        """Takes a part of service discovery's answer; `words` as seeds.py has them."""
+        if self.seeker is not None and not self.members.leaving:
+            self.seeker.heard(words, self.members.own.address)
+            self._try_listed(self.seeker)
+
+    def _reach_out(self) -> None:
+        """To one who is held dead, and to a seed while nobody is known: the way back after a cut."""
+        dead = sorted(self.members.others(State.DEAD), key=lambda claim: claim.name)
+        if dead:
+            target = self.chance.choice(dead)
+            self.outbox.send(target, self.dissemination.ping(target, 0))
+        known = self._known()
+        missing = [seed for seed in self.seeds if seed not in known]
+        if missing and (not self._others() or self.chance.random() < MISSING_SEED_CHANCE):
+            self.tables.ask(self.chance.choice(missing))
+
+    def _seek(self, seeker: Seeker, now: int) -> None:
+        """Those that the list named last time are tried, then it is asked again."""
+        self._try_listed(seeker)
+        others = self._others()
+        # One reads for all of its zone; whoever knows nobody reads for itself.
+        if others and self.reads_list is not None and not self.reads_list(now):
+            seeker.next_at = now + self.habits.sync
+        elif seeker.ask(others, now):
+            self.list_wanted = True
+
+    def _try_listed(self, seeker: Seeker) -> None:
+        for found in seeker.take(self._known()):
+            self.tables.ask(found)
+
+    def _known(self) -> set[Address]:
+        return {claim.address for claim in self.members.present()}
+
+    def _others(self) -> int:
+        """How many are held to be there beside ourselves."""
+        return len(self.members.present()) - 1
--- /dev/null
+++ b/limeridge/peers/dissemination.py
@@ -0,0 +1,100 @@
+"""What a ping or an ack carries along: claims that are news, accusations, and whose answers are missed here.
+
+It owns the accusations that are still to be told, and the bound of a datagram. It must never send anything:
+it builds the messages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import islice
+
+from limeridge.peers.members import Claim, Members, State, bytes_of
+from limeridge.peers.messages import CLAIM_BYTES, DATAGRAM_MOST, HEAD_BYTES, Accusal, Ack, Ping
+from limeridge.peers.probing import Detector
+from limeridge.peers.reach import Reach
+
+ACCUSALS_MOST = 6  # carried by one datagram
+MISSES_MOST = 6
+ACCUSALS_KEPT = 256
+
+
+@dataclass(slots=True, frozen=True)
+class Piggyback:
+    """What goes along with one ping or ack."""
+
+    claims: tuple[Claim, ...]
+    accusals: tuple[Accusal, ...]
+    misses: tuple[str, ...]  # names whose answers do not reach this member
+
+
+class Dissemination:
+    """Builds pings and acks, each with as much news as one datagram has room for."""
+
+    def __init__(self, members: Members, detector: Detector, reach: Reach) -> None:
+        self.members, self.detector, self.reach = members, detector, reach
+        self.accusals: dict[Accusal, int] = {}  # how often each was told
+
+    def accuse(self, accusal: Accusal) -> None:
+        """Takes an accusation, our own or one that was heard; it is told on if it is new."""
+        new = self.detector.accused(accusal.name, accusal.life, accusal.incarnation, accusal.by)
+        if new and len(self.accusals) < ACCUSALS_KEPT:
+            self.accusals.setdefault(accusal, 0)
+
+    def withdraw(self, name: str) -> None:
+        """Forgets all accusations of a member that is no longer suspected."""
+        for accusal in [each for each in self.accusals if each.name == name]:
+            del self.accusals[accusal]
+
+    def ping(self, target: Claim, seq: int) -> Ping:
+        """A probe of `target`, which hears first what is held against itself."""
+        first = [target.name] if target.state is not State.ALIVE else []
+        return self.ping_about(target.name, seq, first)
+
+    def ping_about(self, to: str, seq: int, first: Iterable[str]) -> Ping:
+        """A probe of the member named `to`; the claims about `first` go ahead of all other news."""
+        news = self._piggyback(first)
+        members = self.members
+        return Ping(seq, members.own, to, members.digest, news.claims, news.accusals, news.misses)
+
+    def ack(self, ping: Ping) -> Ack:
+        """Our answer to a probe."""
+        sender, members = ping.own, self.members
+        held = members.get(sender.name)
+        # What we hold against it goes first, so that it can refute, or raise the number of its life.
+        first = [sender.name] if held is not None and held.overrules(sender) else []
+        news = self._piggyback(first)
+        own = members.own
+        return Ack(ping.seq, own, own.name, members.digest, news.claims, news.accusals, news.misses)
+
+    def _piggyback(self, first: Iterable[str]) -> Piggyback:
+        room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.members.own.texts
+        misses = self._misses()
+        room -= sum(bytes_of(name) + 3 for name in misses)
+        accusals = self._accusals(room)
+        room -= sum(map(_size, accusals))
+        return Piggyback(tuple(self.members.to_tell(room, CLAIM_BYTES, first)), tuple(accusals), misses)
+
+    def _misses(self) -> tuple[str, ...]:
+        there = sorted(claim.name for claim in self.members.others(State.ALIVE, State.SUSPECT))
+        return tuple(islice(self.reach.misses(there), MISSES_MOST))
+
+    def _accusals(self, room: int) -> list[Accusal]:
+        """The least told first, in up to about half of `room` bytes; each counts as told."""
+        chosen: list[Accusal] = []
+        for accusal in sorted(self.accusals, key=lambda each: (self.accusals[each], each.name, each.by)):
+            takes = _size(accusal)
+            if len(chosen) >= ACCUSALS_MOST or takes > room // 2:  # half is left for claims
+                break
+            chosen.append(accusal)
+            room -= takes
+            self.accusals[accusal] += 1
+            if self.accusals[accusal] >= self.members.tell_most():
+                del self.accusals[accusal]
+        return chosen
+
+
+def _size(accusal: Accusal) -> int:
+    """Bytes on the wire, at the most."""
+    return CLAIM_BYTES + bytes_of(accusal.name) + bytes_of(accusal.by)
--- /dev/null
+++ b/limeridge/peers/habits.py
@@ -0,0 +1,35 @@
+"""The intervals by which a member acts, all derived from the length of one probing round.
+
+It owns the defaults. It must never hold state: one value is shared by all parts of a member.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from limeridge.peers import probing
+
+MS = 1_000  # microseconds
+
+
+@dataclass(slots=True, frozen=True)
+class Habits:
+    """Intervals of one member, in microseconds."""
+
+    pace: probing.Pace = field(default_factory=probing.Pace)
+    sync: int = 10_000 * MS  # between two exchanges of whole tables
+    sync_soon: int = 1_000 * MS  # where a digest tells that tables differ
+    reach_out: int = 2_000 * MS  # between two tries to reach one who is held dead, or a seed
+    remember: int = 120_000 * MS  # that the gone are kept
+
+    @classmethod
+    def paced(
+        cls, interval: int, time_out: int = 0, helpers: int = 3, sync: int = 0, remember: int = 0
+    ) -> Habits:
+        """The intervals that follow from a round of `interval` microseconds.
+
+        `time_out`, `sync` and `remember` are microseconds too; 0 takes the default for that interval.
+        """
+        late = max(interval // 2, 50 * MS)
+        pace = probing.Pace(interval, time_out or int(0.3 * interval), helpers, late=late)
+        return cls(pace, sync or 10 * interval, interval, 2 * interval, remember or cls().remember)
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -32,9 +32,9 @@
 from limeridge.duty.guest import DutyGuest
 from limeridge.duty.member import Declared, Duties
 from limeridge.peers.gate import Gate
-from limeridge.peers.members import Claim
+from limeridge.peers.members import Address, Claim
 from limeridge.peers.messages import DATAGRAM_MOST, STREAM_MOST, Foreign, Message, Table, decode, encode
-from limeridge.peers.peer import Address, Peer, own_claim
+from limeridge.peers.peer import Peer, own_claim
 from limeridge.peers.seeds import Patience, Seeker
 from limeridge.peers.setup import PeerSetup
 
@@ -76,10 +76,11 @@
 
     def ask(self) -> None:
         link, transport = self.link, cast(Any, self.transport)
-        if transport is None or link.peer.seeker is None:
+        seeker = link.peer.discovery.seeker
+        if transport is None or seeker is None:
             return
         own, to = link.peer.own, (link.setup.node_list.host, link.setup.node_list.port)
-        for text in (f"AT {own.name} {own.host}:{own.port}", f"LIST {link.peer.seeker.asked}"):
+        for text in (f"AT {own.name} {own.host}:{own.port}", f"LIST {seeker.asked}"):
             try:
                 transport.write(text.encode(), to)
             except OSError:
@@ -282,9 +283,9 @@
         if told.allot and terms is not None:
             allot = AllotTerms(terms.surplus, told.allot, terms.longest, terms.drift)
             allotting = Allotting(allot, duties, Taker(allot), lambda: max(0, self.gate.need() - terms.floor))
-            self.peer.above = allotting.share
+            self.peer.deal_by(allotting.share)
         if told.list_read:
-            self.peer.reader = lambda at: duties.holder(name, at) in ("", own.name)
+            self.peer.discovery.reads_list = lambda at: duties.holder(name, at) in ("", own.name)
         self.duty_guest = DutyGuest(duties, allotting)
         self.peer.invite(self.duty_guest, now)
         return duties
@@ -303,7 +304,7 @@
             "start",
             at=f"{host}:{port}",
             life=own.life.number,
-            seeds=len(self.peer.seeds),
+            seeds=len(self.peer.discovery.seeds),
             shares=self.peer.terms is not None,
         )
         self._turn()
@@ -366,7 +367,7 @@
         self._heard(message)
 
     def listed(self, words: list[str]) -> None:
-        self.peer.listed(words, self.clock())
+        self.peer.discovery.listed(words)
         self._turn()
 
     def streamed(self, data: bytes) -> Table | None:
@@ -427,15 +428,13 @@
     def _turn(self) -> None:
         """Sends and logs what there is, and sets the timer."""
         peer = self.peer
-        if peer.asks_list:
-            peer.asks_list = False
+        if peer.discovery.list_wanted:
+            peer.discovery.list_wanted = False
             if self.listing is not None:
                 self.listing.ask()
-        out, peer.out = peer.out, []
-        for send in out:
+        for send in peer.outbox.take_sends():
             self._send(send.to, send.message, send.stream)
-        events, peer.events = peer.events, []
-        for event in events:
+        for event in peer.outbox.take_events():
             line: dict[str, object] = {"t": round(self.unix(), 3), "event": event.event, "code": event.code}
             self.kept.append(line | event.fields)
             self.log.event(event.event, event.code, **event.fields)
--- a/limeridge/peers/members.py
+++ b/limeridge/peers/members.py
@@ -21,6 +21,7 @@
 
 from limeridge.peers.digest import digest_of
 
+Address = tuple[str, int]  # host and port
 TELL_FACTOR = 3  # a claim is told this many times the logarithm of the members (SWIM, section 4.1)
 
 
@@ -63,6 +64,11 @@
         """Of one life: a restart under the same name is another holder of shares."""
         return f"{self.name}/{self.life.nonce:x}"
 
+    @property
+    def address(self) -> Address:
+        """Where the others reach it."""
+        return self.host, self.port
+
     @property
     def texts(self) -> int:
         """Bytes of them, for its size on the wire."""
@@ -187,6 +193,11 @@
 
     # ---- reading
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this member has told the others that it leaves: it never takes that back."""
+        return self.own.state is State.LEFT
+
     @property
     def digest(self) -> int:
         """64 bits over the whole table, whatever the order in which it came about."""
--- a/limeridge/peers/messages.py
+++ b/limeridge/peers/messages.py
@@ -23,6 +23,8 @@
 DATAGRAM_MOST = 1_200  # bytes; below what any way in use takes in one piece
 STREAM_MOST = 1 << 20  # bytes of one message over TCP
 TAG = 16
+CLAIM_BYTES = 52  # of a claim on the wire, its texts aside, at the most
+HEAD_BYTES = 128  # of a message's other fields, a name of 64 among them, and its tag
 
 
 class Accusal(Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/limeridge/peers/observer.py
@@ -0,0 +1,82 @@
+"""What is logged of the others: changes of their grades, of the stand among them and of the share's reason.
+
+It owns what was logged last. It must never change anything but that.
+"""
+
+from __future__ import annotations
+
+from limeridge.peers.members import Claim, Members, State
+from limeridge.peers.outbox import Outbox
+from limeridge.peers.probing import Detector
+from limeridge.peers.reach import Grade, Reach, Stand
+from limeridge.peers.share_exchange import ShareExchange
+
+
+class Observer:
+    """Compares what is held now with what was logged, one line for each difference."""
+
+    def __init__(
+        self,
+        members: Members,
+        detector: Detector,
+        reach: Reach,
+        shares: ShareExchange | None,
+        outbox: Outbox,
+        now: int,
+        every: int,
+    ) -> None:
+        """`every`: microseconds between two looks."""
+        self.members, self.detector, self.reach = members, detector, reach
+        self.shares, self.outbox = shares, outbox
+        self.every, self.next_at = every, now
+        self.grades: dict[str, Grade] = {}
+        self.was_why = ""
+
+    def wake(self, now: int) -> None:
+        """Looks where it is time to; with each call once this member leaves."""
+        if now >= self.next_at or self.members.leaving:
+            self.next_at = now + self.every
+            self._look_at_members(now)
+            self._look_at_stand(now)
+            self._look_at_share(now)
+
+    def forget(self, name: str) -> None:
+        """Drops what was logged of a member that is no longer in the table."""
+        self.grades.pop(name, None)
+
+    def _look_at_members(self, now: int) -> None:
+        for claim in self.members.others(*State):
+            grade, old = self.reach.grade(claim, now), self.grades.get(claim.name)
+            if grade is not old:
+                self.grades[claim.name] = grade
+                self._log_grade(claim, grade, old)
+
+    def _log_grade(self, claim: Claim, grade: Grade, old: Grade | None) -> None:
+        self.outbox.log(
+            "peer",
+            grade.value,
+            peer=claim.name,
+            was=old.value if old else "",
+            at=f"{claim.host}:{claim.port}",
+            life=claim.life.number,
+            incarnation=claim.incarnation,
+        )
+
+    def _look_at_stand(self, now: int) -> None:
+        old = self.reach.stand
+        new = self._stand(now)
+        if new is not old:
+            self.outbox.log("peers", f"with-{new.value}", present=len(self.members.present()))
+
+    def _stand(self, now: int) -> Stand:
+        present = len(self.members.present())
+        dead = sum(1 for _ in self.members.others(State.DEAD))
+        return self.reach.look(present, present + dead, self.detector.heard_at, now)
+
+    def _look_at_share(self, now: int) -> None:
+        if self.shares is None:
+            return
+        why = self.shares.why(now)
+        if why != self.was_why:
+            self.was_why = why
+            self.outbox.log("share", why, share=self.shares.share(now))
--- /dev/null
+++ b/limeridge/peers/relays.py
@@ -0,0 +1,71 @@
+"""Probes made for others: a member that got no answer asks some helpers to try in its place.
+
+It owns the probes in hand, their numbers and their end. It must never judge the target: the answer, or the
+word that there was none, goes to the member that asked.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limeridge.peers.dissemination import Dissemination
+from limeridge.peers.members import Claim, Members
+from limeridge.peers.messages import Ack, Ask, Nack
+from limeridge.peers.outbox import Outbox
+
+RELAYS_MOST = 64  # probes in hand for others
+FIRST_SEQ = 1 << 32  # apart from the detector's numbers
+
+
+@dataclass(slots=True)
+class Relay:
+    """A probe in hand for another member."""
+
+    asker: Claim
+    seq: int  # the asker's number for it
+    target: str
+    until: int  # when the asker is told that there was no answer, microseconds
+
+
+class Relays:
+    """All probes in hand for others."""
+
+    def __init__(self, members: Members, dissemination: Dissemination, outbox: Outbox, wait: int) -> None:
+        """`wait`: microseconds that a target has to answer."""
+        self.members, self.dissemination, self.outbox = members, dissemination, outbox
+        self.wait = wait
+        self.open: dict[int, Relay] = {}
+        self.last_seq = FIRST_SEQ
+
+    def times(self) -> list[int]:
+        """When each probe in hand runs out, microseconds."""
+        return [relay.until for relay in self.open.values()]
+
+    def begin(self, ask: Ask, now: int) -> None:
+        """Probes the target that `ask` names; refuses where RELAYS_MOST are in hand."""
+        if len(self.open) >= RELAYS_MOST:
+            self.outbox.send(ask.own, Nack(ask.seq, self.members.own))
+            return
+        self.last_seq += 1
+        self.open[self.last_seq] = Relay(ask.own, ask.seq, ask.to, now + self.wait)
+        ping = self.dissemination.ping_about(ask.to, self.last_seq, [ask.to])
+        # To the address that the asker knows: it may be newer than ours.
+        self.outbox.send_to((ask.host, ask.port), ping)
+
+    def answered(self, ack: Ack) -> bool:
+        """Passes an answer on to the member that asked for it; False where `ack` is for no probe in hand."""
+        relay = self.open.get(ack.seq)
+        if relay is None:
+            return False
+        if relay.target == ack.of:
+            del self.open[ack.seq]
+            members = self.members
+            self.outbox.send(relay.asker, Ack(relay.seq, members.own, relay.target, members.digest))
+        return True
+
+    def expire(self, now: int) -> None:
+        """Tells those whose targets did not answer in time."""
+        for seq, relay in list(self.open.items()):
+            if now >= relay.until:
+                del self.open[seq]
+                self.outbox.send(relay.asker, Nack(relay.seq, self.members.own))
--- a/limeridge/peers/seeds.py
+++ b/limeridge/peers/seeds.py
@@ -16,12 +16,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from limeridge.peers.members import Address
+
 ENTRIES_MOST = 400  # of an answer; members hear of the others by gossip
 PARTS_MOST = 64
 TRIED_AT_ONCE = 3
 
-Address = tuple[str, int]
-
 
 @dataclass(slots=True, frozen=True)
 class Patience:
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -13,8 +13,9 @@
 from limeridge.duty.ballots import Terms as DutyTerms
 from limeridge.duty.electorate import Electorate
 from limeridge.duty.seek import Waits
+from limeridge.peers.habits import Habits
+from limeridge.peers.members import Address
 from limeridge.peers.messages import key_of
-from limeridge.peers.peer import Address, Habits
 from limeridge.peers.shares import Terms
 from limeridge.settings import peers_pb2 as pb
 from limeridge.settings.load import Checked, load
--- a/limeridge/sim/duties.py
+++ b/limeridge/sim/duties.py
@@ -108,7 +108,7 @@
             allotting = Allotting(
                 self.allot_terms, duties, Taker(self.allot_terms), need=lambda: self.setting.terms.limit
             )
-            process.peer.above = allotting.share
+            process.peer.deal_by(allotting.share)
         guest = self.guests[process] = DutyGuest(duties, allotting)
         process.peer.invite(guest, process.clock())
         self.after(int(chance.uniform(0, 50) * MS), partial(self.work, process, guest, chance))
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -64,13 +64,17 @@
 
 
 CALLERS, KERNEL, LEDGER = "net/callers.py", "net/kernel.py", "net/ledger.py"
-SHARES, MEMBERS, PROBING, PEER, GATE = (
+SHARES, MEMBERS, PROBING, GATE = (
     "peers/shares.py",
     "peers/members.py",
     "peers/probing.py",
-    "peers/peer.py",
     "peers/gate.py",
 )
+DISCOVERY, DISSEMINATION, SHARE_EXCHANGE = (
+    "peers/discovery.py",
+    "peers/dissemination.py",
+    "peers/share_exchange.py",
+)
 SERVICE, FACADE, CONFIG, BRAIN, NODES = (
     "net/service.py",
     "facade.py",
@@ -683,29 +687,29 @@
     ),
     _m(
         "dead-not-tried",
-        PEER,
-        "                self._reach_out(now)\n",
+        DISCOVERY,
+        "            self._reach_out()\n",
         "",
         "those held dead are never tried again",
     ),
     _m(
         "accusals-kept",
-        PEER,
+        DISSEMINATION,
         "            if self.accusals[accusal] >= self.members.tell_most():\n",
         "            if False:\n",
         "accusations crowd all other news out",
     ),
     _m(
         "overfull",
-        PEER,
-        "room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.own.texts",
+        DISSEMINATION,
+        "room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.members.own.texts",
         "room = 2 * DATAGRAM_MOST",
         "datagrams over their bound",
     ),
     _m(
         "behind-not-pulled",
-        PEER,
-        "if self.voter is not None and epoch > self.voter.view.epoch:",
+        SHARE_EXCHANGE,
+        "if epoch > self.voter.view.epoch:",
         "if False:",
         "a voter that is behind stays so",
     ),
--- a/limeridge/sim/outage.py
+++ b/limeridge/sim/outage.py
@@ -78,7 +78,7 @@
             duties.notes[DUTY] = outlook.note()
             if before != outlook.note():
                 duties.seekers[DUTY].renewed_at = 0  # a change is told at once
-                process.peer.guests_at["duty"] = now
+                process.peer.guests.wake_at["duty"] = now
         # Without the duty each tries as its callers ask: that is how it is today.
         if not self.duty or outlook.may(holds, bool(holder) and not holds, 0, SHARE, now):
             self.tries[self.now // SECOND] += 1
--- a/limeridge/sim/size.py
+++ b/limeridge/sim/size.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from limeridge.peers.habits import Habits
 from limeridge.peers.members import State
-from limeridge.peers.peer import Habits
 from limeridge.peers.shares import Terms
 from limeridge.sim.gossip import MS, SECOND, Fleet, Setting
 
--- a/limeridge/trial/virtual.py
+++ b/limeridge/trial/virtual.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
+from limeridge.peers.habits import Habits
 from limeridge.peers.members import State
-from limeridge.peers.peer import Habits
 from limeridge.sim.gossip import Fleet, Process, Setting, Trouble
 from limeridge.trial import judge
 from limeridge.trial.scenario import Kind, Trial
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,11 +11,11 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from limeridge.peers import peer as peers
 from limeridge.peers import probing
+from limeridge.peers.discovery import Discovery
 from limeridge.peers.gate import Gate
 from limeridge.peers.members import Claim, Life, Members, State
-from limeridge.peers.messages import DATAGRAM_MOST, Ack, Foreign, Ping, Table, decode, encode, key_of
+from limeridge.peers.messages import DATAGRAM_MOST, Accusal, Ack, Foreign, Ping, Table, decode, encode, key_of
 from limeridge.peers.peer import Habits, Peer
 from limeridge.peers.reach import Grade, Reach, Stand
 from limeridge.peers.seeds import Patience, Seeker
@@ -429,8 +429,10 @@
     )
     peer = Peer(own, [], Habits(), Terms(limit=100, capacity=1_000), random.Random(1), 0)
     for number in range(1_000):
-        peer._merge(replace(own, name=f"{number:064}", state=State.SUSPECT if number % 3 else State.ALIVE), 0)
-        peer._accuse(peers.Accusal(f"{number:064}", own.life, big, "b" * 64))
+        peer.updates.merge(
+            replace(own, name=f"{number:064}", state=State.SUSPECT if number % 3 else State.ALIVE), 0
+        )
+        peer.dissemination.accuse(Accusal(f"{number:064}", own.life, big, "b" * 64))
     largest = 0
     for now in range(0, 60 * SECOND, 100 * MS):
         peer.wake(now)
@@ -568,7 +570,7 @@
     elif defect == "refute":  # a suspicion of ourselves is not answered
         monkeypatch.setattr(Members, "answer_to", lambda self, claim, now: None)
     else:  # the dead are never tried again
-        monkeypatch.setattr(Peer, "_reach_out", lambda self, now: None)
+        monkeypatch.setattr(Discovery, "_reach_out", lambda self: None)
     broke = virtual.run(scenario.draw(trial, 1)).broke
     assert broke and broke[0].startswith(rule), broke
 
