Simulate callers that send as their connection is ended, and judge what becomes of the request

Cause: the simulation's stubs end what they are bidden to within a turn, so nothing ever crossed an end of a connection.

Change: the kind of fault send-at-close. Such callers rest, or say nothing, and send one request as the instance says farewell, about when it ends a connection that rests on, or in the very moment of the end: in the air or already unread in its buffer. The rule crossed, from both ends of the connection: the request is answered, or it never runs and its caller sees the end of the stream and no reset. The virtual reactor tells how a process asks for an end. Scenario bad-callers, with both kinds.

--- a/limeridge/sim/plan.py
+++ b/limeridge/sim/plan.py
@@ -55,6 +55,7 @@
     FLAP = "flap"  # an instance's links to the others, cut and mended again and again
     PEER_LOSS = "peer-loss"  # share `amount` of all that instances send in datagrams
     KEY_COPY = "key-copy"  # `amount` bad callers send a key that they copied, with another body or tenant
+    SEND_AT_CLOSE = "send-at-close"  # `amount` callers that rest send a request as their connection is ended
 
 
 AT_INSTANCE = (
@@ -75,11 +76,15 @@
     Kind.SLOW_WIRE,
     Kind.FLAP,
     Kind.KEY_COPY,
+    Kind.SEND_AT_CLOSE,
 )
 ENDS_LIVES = (Kind.KILL, Kind.DRAIN)
 AMONG = (Kind.ISLANDS, Kind.FLAP, Kind.PEER_LOSS)  # instances that know each other
 ALONE = tuple(kind for kind in Kind if kind not in AMONG)
-BAD_CALLERS = (Kind.KEY_COPY,)  # drawn from a stream of their own, so that they move no other draw
+BAD_CALLERS = (
+    Kind.KEY_COPY,
+    Kind.SEND_AT_CLOSE,
+)  # drawn from a stream of their own, so that they move no other draw
 USUAL_KINDS = tuple(kind for kind in ALONE if kind not in BAD_CALLERS)
 TRIGGERS = (
     "asked",
@@ -499,6 +504,7 @@
         Kind.FLAP: (0.05, 0.3),
         Kind.PEER_LOSS: (0.05, 0.4),
         Kind.KEY_COPY: (1, 12),
+        Kind.SEND_AT_CLOSE: (1, 24),
     }
     amount = spread(chance, amounts[kind]) if kind in amounts else 0.0
     if kind is Kind.CLOCK_STEP:
--- a/limeridge/sim/reactor.py
+++ b/limeridge/sim/reactor.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, Protocol
 
 from twisted.internet import error
@@ -22,12 +23,21 @@
 CHUNK = 65_536  # bytes read at once
 
 
+class Closing(Enum):
+    """How a process asks for a connection's end."""
+
+    HALF = "half"  # its own end of the stream, it reads on
+    WHOLE = "whole"
+    ABORT = "abort"
+
+
 class Tap(Protocol):
     """Who listens to the wires of a process: what it reads and writes, as it does so."""
 
     def made(self, socket: Socket, accepted: bool) -> None: ...
     def read(self, socket: Socket, data: bytes) -> None: ...
     def wrote(self, socket: Socket, data: bytes) -> None: ...
+    def closing(self, socket: Socket, how: Closing) -> None: ...
     def closed(self, socket: Socket, by_us: bool) -> None: ...
 
 
@@ -211,6 +221,16 @@
         if self.connected and self.reading:
             self.read()
 
+    def send_ahead(self, data: bytes) -> bool:
+        """Puts bytes into the peer's buffer at once, unread, as if they had been sent a while ago and arrived
+        this moment. False where others are on their way, which they may not overtake."""
+        flow = self.out
+        if not self.connected or self.half_closing or self.disconnecting or flow.buffer or flow.air:
+            return False
+        flow.inbox += data
+        self.other._read_soon()
+        return True
+
     def _read_soon(self) -> None:
         self.reactor.timeline.at(self.reactor.timeline.now, self.life, "read", self.readable, wire=True)
 
@@ -308,20 +328,27 @@
     def loseConnection(self, _: object = None) -> None:
         if self.connected and not self.disconnecting:
             self.disconnecting, self.reading = True, False
+            self._tell_closing(Closing.WHOLE)
             self._flush_soon()
 
     def loseWriteConnection(self) -> None:
         """Half a close: the peer sees the end of the stream behind what was written, this end reads on."""
         if self.connected and not self.half_closing:
             self.half_closing = True
+            self._tell_closing(Closing.HALF)
             self._flush_soon()
 
     def abortConnection(self) -> None:
         if self.connected and not self.aborting:
             self.aborting = self.disconnecting = True
             self.reading = False
+            self._tell_closing(Closing.ABORT)
             self.reactor.timeline.at(self.reactor.timeline.now, self.life, "abort", self._aborted)
 
+    def _tell_closing(self, how: Closing) -> None:
+        if self.reactor.tap is not None:
+            self.reactor.tap.closing(self, how)
+
     def _aborted(self) -> None:
         if self.connected:
             self.other.reset_soon()
--- a/limeridge/sim/scenario.py
+++ b/limeridge/sim/scenario.py
@@ -63,6 +63,7 @@
     Kind.FLAP: (0.01, 60),
     Kind.PEER_LOSS: (0, 1),
     Kind.KEY_COPY: (1, 1_000),
+    Kind.SEND_AT_CLOSE: (1, 1_000),
 }
 
 
--- a/limeridge/sim/wires.py
+++ b/limeridge/sim/wires.py
@@ -15,7 +15,7 @@
 import orjson
 
 from limeridge.sim.plan import PEER_PORT
-from limeridge.sim.reactor import Socket
+from limeridge.sim.reactor import Closing, Socket
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,6 +69,39 @@
     line: int
 
 
+@dataclass(slots=True, frozen=True)
+class LineMade:
+    line: int
+
+
+@dataclass(slots=True, frozen=True)
+class LineClosing:
+    """The instance asked for the connection's end."""
+
+    line: int
+    how: Closing
+
+
+@dataclass(slots=True, frozen=True)
+class Dropped:
+    """A request that was read behind the instance's own end of the stream: it can't be answered any more."""
+
+    line: int
+    ref: str
+
+
+@dataclass(slots=True, frozen=True)
+class SenderEnded:
+    """A caller that sent a request as its connection was ended has heard of the end: read off its own end."""
+
+    line: int
+    ref: str
+    silent: bool  # it had sent nothing before
+    warned: bool  # it had read a farewell before it sent
+    answered: bool
+    reset: bool
+
+
 @dataclass(slots=True, frozen=True)
 class LineEnded:
     line: int
@@ -145,6 +178,10 @@
     | Checked
     | Answered
     | Farewell
+    | LineMade
+    | LineClosing
+    | Dropped
+    | SenderEnded
     | LineEnded
     | Command
     | Notice
@@ -160,12 +197,13 @@
 class Wire:
     """Both directions of one connection, what is not whole yet kept."""
 
-    __slots__ = ("called", "dead", "into", "out", "role", "serial")
+    __slots__ = ("called", "closing", "dead", "into", "out", "role", "serial")
 
     def __init__(self, role: str, serial: int) -> None:
         self.role, self.serial = role, serial
         self.into, self.out = b"", b""
         self.dead = self.called = False  # nothing more can be read off it; a call's reply was read
+        self.closing = False  # the instance asked for its end
 
 
 class Recorder:
@@ -199,6 +237,8 @@
         self.wires[socket.serial] = Wire(role, socket.serial)
         if role == "kernel":
             self.tell(LinkMade(socket.serial))
+        elif role == "caller":
+            self.tell(LineMade(socket.serial))
 
     def read(self, socket: Socket, data: bytes) -> None:
         wire = self.wires[socket.serial]
@@ -228,6 +268,12 @@
         else:
             self._call(wire)
 
+    def closing(self, socket: Socket, how: Closing) -> None:
+        wire = self.wires[socket.serial]
+        if wire.role == "caller":
+            wire.closing = True
+            self.tell(LineClosing(wire.serial, how))
+
     def closed(self, socket: Socket, by_us: bool) -> None:
         wire = self.wires.pop(socket.serial)
         if wire.role == "caller":
@@ -272,6 +318,9 @@
                 self.tell(Checked(wire.serial, value["id"]))
             elif method in self.products and value["id"] >= 1 and len(params["i"]) == 16:
                 base64.b64decode(params["doc"], validate=True)
+                if wire.closing:
+                    self.tell(Dropped(wire.serial, params["i"]))
+                    return
                 self.tell(
                     Asked(
                         wire.serial,
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -22,10 +22,22 @@
 from limeridge.sim.links import Links, Weather
 from limeridge.sim.oracles import RULES, Broken, Oracles
 from limeridge.sim.plan import Kind, Plan, Product, Ranges, draw, from_json, to_json
-from limeridge.sim.reactor import Network, Reactor
+from limeridge.sim.reactor import Closing, Network, Reactor
 from limeridge.sim.scenario import named, names
 from limeridge.sim.timeline import BEGIN, SECOND, Life, Ties, Timeline
-from limeridge.sim.wires import Answered, Asked, CallMade, Command, Notice, Replied, Revoked
+from limeridge.sim.wires import (
+    Answered,
+    Asked,
+    CallMade,
+    Command,
+    Dropped,
+    LineClosing,
+    LineMade,
+    Notice,
+    Replied,
+    Revoked,
+    SenderEnded,
+)
 from limeridge.sim.world import World
 
 JOBS = os.cpu_count() or 1
@@ -369,6 +381,15 @@
     assert row.seeds[0] is not None, mutant.what
 
 
+@pytest.mark.parametrize(
+    "name", ["key-tenant-unchecked", "key-refused-to-owner", "close-whole", "dropped-runs"]
+)
+def test_a_defect_that_bad_callers_meet_is_found(name: str) -> None:
+    [mutant] = [mutant for mutant in mutants.MUTANTS if mutant.name == name]
+    [row] = mutants.hunt([mutant], "bad-callers", most=10, starts=1, jobs=1)
+    assert row.seeds[0] is not None, mutant.what
+
+
 def test_every_defect_still_has_its_place() -> None:
     assert len({mutant.name for mutant in mutants.MUTANTS}) == len(mutants.MUTANTS) >= 40
     for mutant in mutants.MUTANTS:
@@ -555,6 +576,39 @@
         book.breaks("key-kept", book.answer, 4, "voided")
 
 
+def test_oracles_of_requests_that_cross_an_end() -> None:
+    def resting() -> Book:
+        """A book with a line whose request was answered."""
+        book = Book()
+        book.see(LineMade(1))
+        book.ask(1)
+        book.answer(1, "voided")
+        return book
+
+    def late(ref: str, answered: bool = False, reset: bool = False) -> SenderEnded:
+        return SenderEnded(1, ref, silent=False, warned=True, answered=answered, reset=reset)
+
+    book, ref = resting(), "f" * 16
+    book.see(LineClosing(1, Closing.HALF))
+    book.see(Dropped(1, ref))
+    book.see(late(ref))  # dropped, and it saw the end of the stream
+    book.breaks("crossed", book.see, late(ref, reset=True))
+    book.breaks("crossed", book.run, ref)
+    book = resting()
+    ref = book.ask(2)
+    book.see(LineClosing(1, Closing.HALF))
+    book.see(late(ref, answered=True))
+    book.breaks("crossed", book.see, late(ref))  # read, and its answer did not come
+    book = resting()
+    book.see(LineClosing(1, Closing.ABORT))  # with room for all
+    book.breaks("crossed", book.see, late("f" * 16, reset=True))
+    book = resting()
+    for line in range(2, 600):
+        book.see(LineMade(line))
+    book.see(LineClosing(1, Closing.ABORT))
+    book.see(late("f" * 16, reset=True))  # it rested on after a farewell, and its place was needed
+
+
 def test_oracles_of_the_drain_and_of_what_a_server_survives() -> None:
     book = Book()
     book.oracles.stepped = -10 * SECOND
