--- a/limeridge/configuration/chain.py
+++ b/limeridge/configuration/chain.py
@@ -245,12 +245,15 @@
         return self._entries[index - 1] if index else self.base
 
     def after(self, head: Head, most: int) -> tuple[Entry, ...] | None:
-        """Committed entries behind a subscriber's head, at most so many; None where only a snapshot helps."""
+        """Committed entries behind a subscriber's head, at most so many; None where only a snapshot helps.
+
+        Empty where the subscriber has all that is committed as far as this publisher knows.
+        """
         try:
             known = self.entry(head.number)
         except NotInLog:
             return None
-        if known.hash != head.hash or head.number > self.committed:
+        if known.hash != head.hash:
             return None
         first = head.number - self.base.revision.number
         return tuple(self._entries[first : min(first + most, self.committed - self.base.revision.number)])
--- a/limeridge/configuration/changes.py
+++ b/limeridge/configuration/changes.py
@@ -11,6 +11,7 @@
 from hashlib import blake2b
 
 CHANGES_MOST = 1_000  # in one revision
+DRAFT_MOST = 1 << 19  # canonical bytes of one
 AUTHOR_MOST = 256  # characters
 REASON_MOST = 1_024
 CHANGE_ID_MOST = 128
--- a/limeridge/configuration/checks.py
+++ b/limeridge/configuration/checks.py
@@ -15,6 +15,7 @@
     AUTHOR_MOST,
     CHANGE_ID_MOST,
     CHANGES_MOST,
+    DRAFT_MOST,
     REASON_MOST,
     Change,
     Draft,
@@ -23,6 +24,7 @@
     RemoveRoute,
     RemoveTenant,
     SetClassLimit,
+    draft_bytes,
 )
 from limeridge.configuration.routes import prefix_fault
 from limeridge.configuration.tables import ClassLimits, Tables
@@ -81,16 +83,21 @@
 
 
 def _faults(tables: Tables, draft: Draft) -> Iterator[Fault]:
-    yield from _text_faults(draft)
+    text_faults = list(_text_faults(draft))
+    if text_faults:
+        yield from text_faults
+        return
     if len(draft.changes) > CHANGES_MOST:
         yield Fault("changes", f"expected at most {CHANGES_MOST}")
         return
-    whole = True
+    whole = True  # so far each text and each change is good alone
     for index, change in enumerate(draft.changes):
         for fault in _change_faults(tables, change, f"changes.{index}"):
             whole = False
             yield fault
-    if whole:
+    if whole and len(draft_bytes(draft)) > DRAFT_MOST:
+        yield Fault("changes", f"expected at most {DRAFT_MOST} bytes in all")
+    elif whole:
         yield from _double_faults(draft)
         yield from _share_faults(tables.limits, draft)
         yield from _size_faults(tables, draft)
@@ -108,6 +115,13 @@
 def _text_fault(place: str, text: object, most: int) -> Iterator[Fault]:
     if not isinstance(text, str) or not 1 <= len(text) <= most:
         yield Fault(place, f"expected a text of 1 to {most} characters")
+    elif not _is_unicode(text):
+        yield Fault(place, "expected Unicode, got half of a surrogate pair")
+
+
+def _is_unicode(text: str) -> bool:
+    """Whether the text can be sent as UTF-8."""
+    return not any("\ud800" <= character <= "\udfff" for character in text)
 
 
 def _number_fault(place: str, number: object, most: float) -> Iterator[Fault]:
@@ -128,6 +142,8 @@
         case PutRoute(prefix, class_name):
             if (fault := prefix_fault(prefix)) is not None:
                 yield Fault(f"{place}.prefix", fault)
+            elif not _is_unicode(prefix):
+                yield Fault(f"{place}.prefix", "expected Unicode, got half of a surrogate pair")
             yield from _class_fault(tables.limits, class_name, place)
         case RemoveRoute(prefix):
             if not isinstance(prefix, str) or tables.routes.get(prefix) is None:
--- a/limeridge/configuration/names.py
+++ b/limeridge/configuration/names.py
@@ -10,6 +10,7 @@
 from array import array
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import accumulate
 
 from limeridge.configuration.columns import PAGE_BITS, PAGE_MASK, PAGE_SIZE
 
@@ -41,16 +42,16 @@
         return self.blob[self.ends[place - 1] if place else 0 : self.ends[place]]
 
     def all(self) -> list[bytes]:
-        return [self.get(place) for place in range(PAGE_SIZE)]
+        names, begin = [], 0
+        for end in self.ends:
+            names.append(self.blob[begin:end])
+            begin = end
+        return names
 
 
 def name_page(names: list[bytes]) -> NamePage:
-    ends = array("I", bytes(4 * PAGE_SIZE))
-    end = 0
-    for place, name in enumerate(names):
-        end += len(name)
-        ends[place] = end
-    return NamePage(b"".join(names), ends)
+    """The page of PAGE_SIZE names, empty where a number has none."""
+    return NamePage(b"".join(names), array("I", accumulate(map(len, names))))
 
 
 def encoded_name(name: str) -> bytes:
--- a/limeridge/configuration/snapshot.py
+++ b/limeridge/configuration/snapshot.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import TypeVar
 
 from limeridge.configuration.chain import Entry, Head, is_sound
 from limeridge.configuration.routes import RouteFault, RouteTableBuilder
@@ -25,9 +26,13 @@
 from limeridge.configuration.tenants import TenantFault, TenantTableBuilder
 
 PART_ENTRIES = 1_000
+PART_CHARACTERS = 100_000  # of names or prefixes in a part
 ENTRIES_PER_STEP = 50  # under a millisecond
 
 
+Row = TypeVar("Row", tuple[str, float], tuple[str, str])
+
+
 class SnapshotFault(Exception):
     """A part is missing or not of this snapshot, or what came is not what the chain's hash covers."""
 
@@ -66,13 +71,23 @@
 def snapshot_of(entry: Entry, tables: Tables) -> Snapshot:
     """The same for the same tables, whatever they went through. Takes long where the tables are large."""
     tenants, routes = sorted_tenants(tables), sorted_routes(tables)
-    cuts: list[tuple[tuple[tuple[str, float], ...], tuple[tuple[str, str], ...]]] = []
-    for first in range(0, len(tenants), PART_ENTRIES):
-        cuts.append((tuple(tenants[first : first + PART_ENTRIES]), ()))
-    for first in range(0, len(routes), PART_ENTRIES):
-        cuts.append(((), tuple(routes[first : first + PART_ENTRIES])))
-    parts = tuple(SnapshotPart(entry.hash, index, *cut) for index, cut in enumerate(cuts))
-    return Snapshot(SnapshotHeader(entry, tables.limits, len(tenants), len(routes), len(parts)), parts)
+    parts = [SnapshotPart(entry.hash, index, cut, ()) for index, cut in enumerate(_cut(tenants))]
+    parts += [SnapshotPart(entry.hash, index, (), cut) for index, cut in enumerate(_cut(routes), len(parts))]
+    return Snapshot(SnapshotHeader(entry, tables.limits, len(tenants), len(routes), len(parts)), tuple(parts))
+
+
+def _cut(entries: list[Row]) -> Iterator[tuple[Row, ...]]:
+    """Pieces in order, each of PART_ENTRIES or of about PART_CHARACTERS at the most."""
+    piece: list[Row] = []
+    size = 0
+    for entry in entries:
+        piece.append(entry)
+        size += len(entry[0])
+        if len(piece) == PART_ENTRIES or size >= PART_CHARACTERS:
+            yield tuple(piece)
+            piece, size = [], 0
+    if piece:
+        yield tuple(piece)
 
 
 class SnapshotLoader:
--- a/limeridge/configuration/subscriber.py
+++ b/limeridge/configuration/subscriber.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from itertools import pairwise
 from random import Random
 
 from limeridge.configuration.chain import Entry, Head, Revision, hash_of
@@ -137,7 +138,8 @@
         new = [revision for revision in deltas.revisions if revision.number > head.number]
         if not new:
             return Ignore(Why.OLD)
-        if any(revision.token < head.token for revision in new):
+        tokens = [head.token, *(revision.token for revision in new)]
+        if any(later < earlier for earlier, later in pairwise(tokens)):
             return self._ask(AskSnapshot(Why.OLDER_CHAIN), now)
         if new[0].number > head.number + 1:
             return self._ask(AskDeltas(head, Why.GAP), now)
@@ -188,19 +190,20 @@
         return self._asking(again, now)
 
     def _made(self, head: Head, revisions: Sequence[Revision], now: int) -> Apply | None:
-        """The tables after revisions that follow `head`; None where they can't."""
+        """The tables after `revisions` and the hash that they come to; None where they can't be applied.
+
+        Whether they follow `head` without a hole is told by that hash alone.
+        """
         editor = TablesEditor(self.tables, now=now, retired_until=now + self._terms.retention)
-        number, chain_hash, token = head.number, head.hash, head.token
+        chain_hash = head.hash
         for revision in revisions:
-            if revision.number != number + 1 or revision.token < token:
-                return None
             try:
                 editor.apply(revision.draft.changes)
             except CantApply:
                 return None
             chain_hash = hash_of(chain_hash, revision, editor.digest)
-            number, token = revision.number, revision.token
-        return Apply(Head(number, chain_hash, token), editor.build())
+        last = revisions[-1]
+        return Apply(Head(last.number, chain_hash, last.token), editor.build())
 
     def _in_force(self, made: Apply) -> Decision:
         self.head, self.tables = made.head, made.tables
