--- a/limeridge/scale/members_sweep.py
+++ b/limeridge/scale/members_sweep.py
@@ -33,7 +33,7 @@
 QUICK_SIZES = (12, 24)
 LEAST, MOST = 8, 3_400
 REPEATS = 3
-TOGETHER_MOST = 400  # members of fleets that are measured at the same time
+TOGETHER_MOST = 1_600  # members of fleets that are measured at the same time
 QUICK_SLOWDOWN = 0.4  # a quick sweep's rounds are shorter than a second
 BLOCKS = range(160, 200)  # second byte of loopback addresses, one block a fleet
 TARGET_MEMBERS, TARGET_EVERY = 3_400, 86_400 / 14_000  # members, seconds from one replacement to the next
@@ -66,14 +66,14 @@
 
     start: float = 3.0  # over which members start
     settle_most: float = 25.0  # until all must know all
-    rest: float = 10.0
-    churn: float = 10.0
+    rest: float = 8.0
+    churn: float = 6.0
     lost: float = 12.0  # after a rack or a zone is lost
     gone: float = 10.0  # that a region stays away
-    back: float = 10.0  # after it has come back
-    cut: float = 12.0
-    heal: float = 8.0
-    pause: float = 4.0  # between two situations
+    back: float = 7.0  # after it has come back
+    cut: float = 8.0
+    heal: float = 6.0
+    pause: float = 2.0  # between two situations
 
 
 WINDOWS = Windows()
@@ -462,11 +462,13 @@
         running.start_all()
         if not running.settle():
             readings.note(f"{run.label}: not all knew all when the windows began")
-        run.rest()
         if fleet.mode is Mode.BY_NEED:
+            for _ in range(REPEATS):
+                run.rest()
             return
+        run.rest()
         run.churn()
-        if number and fleet.count > TOGETHER_MOST:
+        if number:
             return
         run.running.wait(run.windows.pause)
         run.lose_rack()
@@ -482,16 +484,15 @@
         own = stack.enter_context(meter.OwnTimer())
         blocks = [stack.enter_context(claimed_block()) for _ in request.sizes]
         block_of = dict(zip(request.sizes, blocks, strict=True))
-        for number in range(REPEATS):
-            for mode in Mode:
-                for group in together(request.sizes):
-                    slowdown = slowdown_for(group, os.cpu_count() or 1)
-                    request.progress(
-                        f"members: run {number + 1} of {REPEATS}, {mode.value}, "
-                        f"{', '.join(map(str, group))} members, a second in {slowdown:g}"
-                    )
-                    fleets = [Fleet(size, mode, block_of[size], slowdown) for size in group]
-                    measure_all(fleets, folder, own, readings, number)
+        for mode, number in [*((Mode.VIEWS, number) for number in range(REPEATS)), (Mode.BY_NEED, 0)]:
+            for group in together(request.sizes):
+                slowdown = slowdown_for(group, os.cpu_count() or 1)
+                request.progress(
+                    f"members: {mode.value}, run {number + 1}, {', '.join(map(str, group))} members, "
+                    f"a second in {slowdown:g}"
+                )
+                fleets = [Fleet(size, mode, block_of[size], slowdown) for size in group]
+                measure_all(fleets, folder, own, readings, number)
     add_notes(request.sizes, readings)
     return Measured(readings.series(), tuple(readings.notes))
 
@@ -502,8 +503,13 @@
     """All of these at the same time."""
     with ThreadPoolExecutor(len(fleets)) as pool:
         runs = [pool.submit(measure, fleet, folder, own, readings, number) for fleet in fleets]
-        for run in runs:
-            run.result()
+        for run, fleet in zip(runs, fleets, strict=True):
+            try:
+                run.result()
+            except meter.WorkerLost as lost:
+                readings.note(
+                    f"{fleet.count} members, {fleet.mode.value}, run {number + 1}: broken off: {lost}"
+                )
 
 
 def add_notes(sizes: tuple[int, ...], readings: Readings) -> None:
@@ -516,9 +522,11 @@
             f"{shown} members: measured at the same time, each second of the fleet in {slowdown:g} s; "
             "figures are for a second of the fleet"
         )
-        if max(group) > TOGETHER_MOST:
-            readings.note(f"{shown} members: racks, zones, regions and cuts in the first run only")
     readings.note(f"largest size reached: {max(sizes)} members")
+    readings.note(
+        f"{REPEATS} runs at rest and under churn; racks, zones, regions and cuts in the first run only; duty "
+        f"holder: one run, {REPEATS} windows at rest"
+    )
     readings.note(
         f"windows in seconds of the fleet: rest {windows.rest:g}, churn {windows.churn:g}, after a loss "
         f"{windows.lost:g}, after a return {windows.back:g}, cut {windows.cut:g}, healing {windows.heal:g}; "
