--- a/limeridge/scale/sweeps.py
+++ b/limeridge/scale/sweeps.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 from limeridge.scale import bounds, results
 
 MODULES = {
@@ -116,26 +118,17 @@
         memory_gib=round(bounds.machine().memory / bounds.GIB, 1),
         command=command,
         seconds=round(time.monotonic() - begun, 1),
-        series=tuple(replace_fit(each) for each in measured.series),
+        series=tuple(fitted(each) for each in measured.series),
         notes=(f"Python {platform.python_version()}", *measured.notes),
     )
     return Outcome(result, measured.failed)
 
 
-def replace_fit(series: results.Series) -> results.Series:
+def fitted(series: results.Series) -> results.Series:
     """The same series with the growth law that fits it, where it has points enough."""
-    if importlib.util.find_spec("limeridge.scale.fit") is None:
-        return series
-    fit = importlib.import_module("limeridge.scale.fit").fit
-    return results.Series(
-        series.cost,
-        series.role,
-        series.situation,
-        series.against,
-        series.unit,
-        series.points,
-        fit(series.points),
-    )
+    from limeridge.scale.fit import fit  # scipy takes a second to load
+
+    return msgspec.structs.replace(series, fit=fit(series.points))
 
 
 def revision() -> str:
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -216,6 +216,15 @@
     assert failed == ["unreached"]
 
 
+def test_a_worker_that_ends_is_told(fleet: Fleet, tmp_path: Path) -> None:
+    lost = worker(fleet, Role.MEMBER, tmp_path)
+    lost.process.kill()
+    lost.process.wait()
+    with pytest.raises(meter.WorkerLost, match="it has ended"):
+        counts(lost)
+    lost.end()
+
+
 # ---- layout
 
 
@@ -245,6 +254,14 @@
     assert len(members_sweep.checked((series("largest message", 2_000_000, 1),))) == 1
 
 
+def test_five_sizes_are_fitted() -> None:
+    grows = series("bytes out", *(10.0 * size for size in range(1, 7)))
+    points = tuple(msgspec.structs.replace(each, size=each.size + 1) for each in grows.points)
+    law = sweeps.fitted(msgspec.structs.replace(grows, points=points)).fit
+    assert law is not None and law.law == "n"
+    assert sweeps.fitted(msgspec.structs.replace(grows, points=points[:4])).fit is None
+
+
 def test_a_quick_sweep_by_command(tmp_path: Path) -> None:
     done = command("members", "--quick", "--json", "--sizes", "10,20", "--out", str(tmp_path))
     assert done.returncode == 0, done.stdout + done.stderr
