--- a/limeridge/bgp/codec.py
+++ b/limeridge/bgp/codec.py
@@ -529,7 +529,18 @@
             self.faults.append(f"{why}: discarded")
 
     def _known(self, kind: int, value: bytes) -> None:
-        """RFC 7606 section 7, in its order."""
+        """RFC 7606 section 7; an attribute of a kind that is not known here changes nothing."""
+        if kind in (MP_REACH, MP_UNREACH):
+            self._multiprotocol(kind, value)
+        elif kind in (COMMUNITIES, LARGE):
+            self._communities(kind, value)
+        elif kind in (ATOMIC, AGGREGATOR, AS4_PATH, AS4_AGGREGATOR):
+            self._aggregation(kind, value)
+        else:
+            self._basic(kind, value)
+
+    def _basic(self, kind: int, value: bytes) -> None:
+        """RFC 7606 sections 7.1 to 7.5: what every path has, and the two preferences."""
         if kind == ORIGIN:
             if len(value) != 1 or value[0] > 2:
                 raise _Withdraw("ORIGIN")
@@ -548,7 +559,10 @@
             if self.agreed.external:
                 raise _Discard("LOCAL_PREF of an external peer")
             self.attributes = replace(self.attributes, local_pref=_number(value, "LOCAL_PREF"))
-        elif kind == ATOMIC:
+
+    def _aggregation(self, kind: int, value: bytes) -> None:
+        """RFC 7606 sections 7.6 and 7.7, RFC 6793 section 6."""
+        if kind == ATOMIC:
             if value:
                 raise _Discard("ATOMIC_AGGREGATE")
             self.attributes = replace(self.attributes, atomic=True)
@@ -558,31 +572,35 @@
                 raise _Discard("AGGREGATOR")
             pair = int.from_bytes(value[:size], "big"), int.from_bytes(value[size:], "big")
             self.attributes = replace(self.attributes, aggregator=pair)
-        elif kind == COMMUNITIES:
+        # AS4_PATH is of no use between speakers of four octets; else it has the path's true numbers.
+        elif not self.agreed.four_octets and kind == AS4_PATH and self.attributes.path is not None:
+            path = merged(self.attributes.path, decode_path(value, 4))
+            self.attributes = replace(self.attributes, path=path)
+
+    def _communities(self, kind: int, value: bytes) -> None:
+        """RFC 7606 section 7.8, RFC 8092 section 6."""
+        if kind == COMMUNITIES:
             if not value or len(value) % 4:
                 raise _Withdraw("COMMUNITIES")
             self.attributes = replace(self.attributes, communities=tuple(_numbers(value, 4)))
-        elif kind == LARGE:
+        else:
             if not value or len(value) % 12:
                 raise _Withdraw("LARGE_COMMUNITY")
             each = list(_numbers(value, 4))
             self.attributes = replace(
                 self.attributes, large=tuple(zip(each[::3], each[1::3], each[2::3], strict=True))
             )
-        elif kind == MP_REACH:
+
+    def _multiprotocol(self, kind: int, value: bytes) -> None:
+        """RFC 7606 sections 7.11 and 7.12."""
+        if kind == MP_REACH:
             self._reach(value)
-        elif kind == MP_UNREACH:
+        else:
             if len(value) < 3:
                 raise Bad(Code.UPDATE, 9, why="MP_UNREACH_NLRI")
             family = int.from_bytes(value[:2], "big")
             if family in self.agreed.families and value[2] == UNICAST:
                 self.withdrawn = prefixes(value[3:], family)
-        elif kind in (AS4_PATH, AS4_AGGREGATOR):
-            # RFC 6793 section 6: of no use between speakers of four octets; else for a path's true numbers.
-            if not self.agreed.four_octets and kind == AS4_PATH and self.attributes.path is not None:
-                self.attributes = replace(
-                    self.attributes, path=merged(self.attributes.path, decode_path(value, 4))
-                )
 
     def _reach(self, value: bytes) -> None:
         """RFC 4760 section 3; what can't be parsed ends the session, as its routes can't be told (RFC 7606,
--- a/limeridge/bgp/fsm.py
+++ b/limeridge/bgp/fsm.py
@@ -180,6 +180,25 @@
 
 def _talking(state: State) -> Iterator[tuple[Event, Row]]:
     """OpenSent, OpenConfirm and Established: there is a connection, and what ends it is told to the peer."""
+    yield from _ending(state)
+    # A second connection is a matter of collision detection (section 6.8), which tracks it apart.
+    for event in (E.TCP_VALID, E.TCP_ACKED, E.TCP_CONFIRMED):
+        yield event, ((), state)
+    yield E.TCP_INVALID, ((A.DROP_QUIETLY,), state)
+    if state is S.OPEN_SENT:
+        yield from _open_sent()
+    if state in (S.OPEN_CONFIRM, S.ESTABLISHED):
+        yield E.KEEPALIVE_EXPIRES, ((A.SEND_KEEPALIVE, A.START_KEEPALIVE), state)
+    if state is S.OPEN_CONFIRM:
+        yield E.KEEPALIVE, ((A.START_HOLD, A.UP), S.ESTABLISHED)
+    if state is S.ESTABLISHED:
+        yield E.KEEPALIVE, ((A.START_HOLD,), state)
+        yield E.UPDATE, ((A.START_HOLD, A.TAKE_UPDATE), state)
+        yield E.UPDATE_ERROR, ((A.SEND_ERROR, A.DOWN, *FAILED, A.START_IDLE_HOLD), S.IDLE)
+
+
+def _ending(state: State) -> Iterator[tuple[Event, Row]]:
+    """What ends a connection, each event that the state does not expect among it."""
     down = (A.DOWN,) if state is S.ESTABLISHED else ()
     lost = ((*down, *FAILED, A.START_IDLE_HOLD), S.IDLE)
     for event in Event:  # any event that this state does not expect
@@ -201,35 +220,20 @@
         ),
     )
     yield E.TCP_FAILS, lost
-    yield E.TCP_VALID, ((), state)
-    yield E.TCP_INVALID, ((A.DROP_QUIETLY,), state)
-    # A second connection is a matter of collision detection (section 6.8), which tracks it apart.
-    for event in (E.TCP_ACKED, E.TCP_CONFIRMED):
-        yield event, ((), state)
-    if state is S.OPEN_SENT:
-        yield E.TCP_FAILS, ((A.DROP_TCP, A.STOP_DELAY_OPEN, A.STOP_TIMERS, A.START_CONNECT_RETRY), S.ACTIVE)
-        yield (
-            E.OPEN,
-            (
-                (
-                    A.STOP_DELAY_OPEN,
-                    A.STOP_CONNECT_RETRY,
-                    A.TAKE_OPEN,
-                    A.SEND_KEEPALIVE,
-                    A.START_KEEPALIVE,
-                    A.START_HOLD,
-                ),
-                S.OPEN_CONFIRM,
-            ),
-        )
-    if state in (S.OPEN_CONFIRM, S.ESTABLISHED):
-        yield E.KEEPALIVE_EXPIRES, ((A.SEND_KEEPALIVE, A.START_KEEPALIVE), state)
-    if state is S.OPEN_CONFIRM:
-        yield E.KEEPALIVE, ((A.START_HOLD, A.UP), S.ESTABLISHED)
-    if state is S.ESTABLISHED:
-        yield E.KEEPALIVE, ((A.START_HOLD,), state)
-        yield E.UPDATE, ((A.START_HOLD, A.TAKE_UPDATE), state)
-        yield E.UPDATE_ERROR, ((A.SEND_ERROR, A.DOWN, *FAILED, A.START_IDLE_HOLD), S.IDLE)
+
+
+def _open_sent() -> Iterator[tuple[Event, Row]]:
+    """What is expected in OpenSent alone."""
+    yield E.TCP_FAILS, ((A.DROP_TCP, A.STOP_DELAY_OPEN, A.STOP_TIMERS, A.START_CONNECT_RETRY), S.ACTIVE)
+    taken = (
+        A.STOP_DELAY_OPEN,
+        A.STOP_CONNECT_RETRY,
+        A.TAKE_OPEN,
+        A.SEND_KEEPALIVE,
+        A.START_KEEPALIVE,
+        A.START_HOLD,
+    )
+    yield E.OPEN, (taken, S.OPEN_CONFIRM)
 
 
 def _table() -> dict[tuple[State, Event], Row]:
--- a/limeridge/bgp/session.py
+++ b/limeridge/bgp/session.py
@@ -40,6 +40,26 @@
 JITTER = (0.75, 1.0)  # section 10
 DOUBLINGS = 6  # of the idle hold time, at the most
 FORGIVEN = 8  # hold times that a session must stand for an oscillation to be forgotten
+TIMER_ACTIONS = {
+    Action.START_CONNECT_RETRY,
+    Action.STOP_CONNECT_RETRY,
+    Action.START_DELAY_OPEN,
+    Action.STOP_DELAY_OPEN,
+    Action.START_IDLE_HOLD,
+    Action.STOP_IDLE_HOLD,
+    Action.START_HOLD_LARGE,
+    Action.START_HOLD,
+    Action.START_KEEPALIVE,
+    Action.STOP_TIMERS,
+}
+SEND_ACTIONS = {
+    Action.SEND_OPEN,
+    Action.SEND_KEEPALIVE,
+    Action.SEND_CEASE,
+    Action.SEND_HOLD_EXPIRED,
+    Action.SEND_FSM_ERROR,
+    Action.SEND_ERROR,
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -293,41 +313,49 @@
         return int(span * self.chance.uniform(*JITTER))
 
     def _act(self, now: int, action: Action, update: Update | None, outs: list[Out]) -> None:
-        terms = self.terms
+        """Carries out one action of the state machine's table."""
+        if action in TIMER_ACTIONS:
+            self._set_timer(now, action)
+        elif action in SEND_ACTIONS:
+            self._send_for(action, outs)
+        elif action in (Action.COUNT_RETRY, Action.ZERO_RETRIES, Action.DAMP):
+            self._count(now, action)
+        else:
+            self._report(now, action, update, outs)
+
+    def _set_timer(self, now: int, action: Action) -> None:
+        terms, timers = self.terms, self.timers
         match action:
-            case Action.CONNECT_TCP:
-                outs.append(Connect())
-            case Action.DROP_TCP:
-                outs.append(Drop())
-            case Action.DROP_QUIETLY:
-                outs.append(Reject())
             case Action.START_CONNECT_RETRY:
-                self.timers[Timer.CONNECT_RETRY] = now + self._jittered(terms.connect_retry)
+                timers[Timer.CONNECT_RETRY] = now + self._jittered(terms.connect_retry)
             case Action.STOP_CONNECT_RETRY:
-                self.timers.pop(Timer.CONNECT_RETRY, None)
+                timers.pop(Timer.CONNECT_RETRY, None)
             case Action.START_DELAY_OPEN:
-                self.timers[Timer.DELAY_OPEN] = now + terms.delay_open
+                timers[Timer.DELAY_OPEN] = now + terms.delay_open
             case Action.STOP_DELAY_OPEN:
-                self.timers.pop(Timer.DELAY_OPEN, None)
+                timers.pop(Timer.DELAY_OPEN, None)
             case Action.START_IDLE_HOLD:
-                self.timers[Timer.IDLE_HOLD] = now + self._jittered(self.damping.wait(terms.idle_hold))
+                timers[Timer.IDLE_HOLD] = now + self._jittered(self.damping.wait(terms.idle_hold))
             case Action.STOP_IDLE_HOLD:
-                self.timers.pop(Timer.IDLE_HOLD, None)
+                timers.pop(Timer.IDLE_HOLD, None)
             case Action.START_HOLD_LARGE:
-                self.timers[Timer.HOLD] = now + LARGE_HOLD
+                timers[Timer.HOLD] = now + LARGE_HOLD
             case Action.START_HOLD:
                 if self.hold:
-                    self.timers[Timer.HOLD] = now + self.hold * SECOND
+                    timers[Timer.HOLD] = now + self.hold * SECOND
                 else:
-                    self.timers.pop(Timer.HOLD, None)
+                    timers.pop(Timer.HOLD, None)
             case Action.START_KEEPALIVE:
                 if self.hold:
-                    self.timers[Timer.KEEPALIVE] = now + self._jittered(self.hold * SECOND // 3)
+                    timers[Timer.KEEPALIVE] = now + self._jittered(self.hold * SECOND // 3)
             case Action.STOP_TIMERS:
-                self.timers.pop(Timer.HOLD, None)
-                self.timers.pop(Timer.KEEPALIVE, None)
+                timers.pop(Timer.HOLD, None)
+                timers.pop(Timer.KEEPALIVE, None)
+
+    def _send_for(self, action: Action, outs: list[Out]) -> None:
+        match action:
             case Action.SEND_OPEN:
-                self._send(outs, terms.open())
+                self._send(outs, self.terms.open())
             case Action.SEND_KEEPALIVE:
                 self._send(outs, Keepalive())
             case Action.SEND_CEASE:
@@ -343,13 +371,26 @@
                 self._send(outs, Notification(Code.FSM, states.get(self.state, 0)))
             case Action.SEND_ERROR:
                 self._send(outs, self.owed or Notification(Code.FSM, 0))
+
+    def _count(self, now: int, action: Action) -> None:
+        match action:
             case Action.COUNT_RETRY:
                 self.counts.retries += 1
             case Action.ZERO_RETRIES:
                 self.counts.retries = 0
             case Action.DAMP:
-                self.damping.down(now, self.hold or terms.hold)
+                self.damping.down(now, self.hold or self.terms.hold)
                 self.damping.count += 1
+
+    def _report(self, now: int, action: Action, update: Update | None, outs: list[Out]) -> None:
+        """Actions on the connection, and those that the session's user hears of."""
+        match action:
+            case Action.CONNECT_TCP:
+                outs.append(Connect())
+            case Action.DROP_TCP:
+                outs.append(Drop())
+            case Action.DROP_QUIETLY:
+                outs.append(Reject())
             case Action.TAKE_OPEN:
                 self._take_open()
             case Action.UP:
