--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -507,9 +507,20 @@
 
     def look(self) -> None:
         """Each so often: deaths that are known by now, deaths that are none, tables, the limit in use."""
-        now, verdict = self.now, self.verdict
         there = self.processes()
         self.judge_potential(there)
+        self._look_at_deaths(there)
+        if self.clean:
+            self._look_for_false_deaths(there)
+        if self.quiet_at and self.now > self.quiet_at:
+            self._look_at_healing(there)
+        if self.looks is not None:
+            self.looks(self)
+        self.after(100 * MS, self.look)
+
+    def _look_at_deaths(self, there: list[Process]) -> None:
+        """Which of the dead all the others hold dead by now."""
+        now = self.now
         for number, since in list(self.died.items()):
             name = f"n{number}"
             holds = [
@@ -518,45 +529,43 @@
                 if not each.paused
             ]
             if holds and all(holds):
-                verdict.detected.append(now - since)
+                self.verdict.detected.append(now - since)
                 del self.died[number]
             elif self.clean and not self.paused and now - since > self.setting.detect:
                 told = f"{name} is dead for {(now - since) / SECOND:.1f} s and not held so by all"
                 self.broke("detect", told)
-        if self.clean:
-            for watcher in there:
-                for claim in watcher.peer.members.others(State.DEAD):
-                    living = self.current[int(claim.name[1:])]
-                    if (
-                        living is not None
-                        and living.peer.own.life == claim.life
-                        and living.number not in self.paused
-                    ):
-                        self.false_seen.add((claim.name, living.peer.own.life.nonce))
-            verdict.false_deaths = len(self.false_seen)
-        if self.quiet_at and now > self.quiet_at:
-            # Who is there and in which life; a suspicion on its way to being refuted is no disagreement.
-            views = {
-                frozenset((claim.name, claim.life.nonce) for claim in each.peer.members.present())
-                for each in there
-            }
-            if len(views) > 1:
-                verdict.agreed_after = -1
-            elif verdict.agreed_after < 0:
-                verdict.agreed_after = now - self.quiet_at
-            dealt = sum(each.peer.share(each.clock()) or 0 for each in there)
-            # A floor stands for each process that there may be: those that are not there leave theirs unused.
-            terms = self.setting.terms
-            can = terms.surplus + terms.floor * len(there)
-            if verdict.used_after < 0 and dealt >= 0.95 * can:
-                verdict.used_after = now - self.quiet_at
-            if dealt > terms.limit:
-                self.broke("limit", f"shares of {dealt:g} dealt out, the limit is {terms.limit:g}")
-            times = verdict.agreed_after, verdict.used_after
-            self.settled = min(times) >= 0 and now - self.quiet_at > max(times) + SETTLED
-        if self.looks is not None:
-            self.looks(self)
-        self.after(100 * MS, self.look)
+
+    def _look_for_false_deaths(self, there: list[Process]) -> None:
+        """Living members that somebody holds dead, each life counted once."""
+        for watcher in there:
+            for claim in watcher.peer.members.others(State.DEAD):
+                living = self.current[int(claim.name[1:])]
+                if living is None or living.peer.own.life != claim.life or living.number in self.paused:
+                    continue
+                self.false_seen.add((claim.name, living.peer.own.life.nonce))
+        self.verdict.false_deaths = len(self.false_seen)
+
+    def _look_at_healing(self, there: list[Process]) -> None:
+        """After the last trouble: when all hold the same, and when the limit is in use again."""
+        now, verdict, terms = self.now, self.verdict, self.setting.terms
+        # Who is there and in which life; a suspicion on its way to being refuted is no disagreement.
+        views = {
+            frozenset((claim.name, claim.life.nonce) for claim in each.peer.members.present())
+            for each in there
+        }
+        if len(views) > 1:
+            verdict.agreed_after = -1
+        elif verdict.agreed_after < 0:
+            verdict.agreed_after = now - self.quiet_at
+        dealt = sum(each.peer.share(each.clock()) or 0 for each in there)
+        # A floor stands for each process that there may be: those that are not there leave theirs unused.
+        can = terms.surplus + terms.floor * len(there)
+        if verdict.used_after < 0 and dealt >= 0.95 * can:
+            verdict.used_after = now - self.quiet_at
+        if dealt > terms.limit:
+            self.broke("limit", f"shares of {dealt:g} dealt out, the limit is {terms.limit:g}")
+        times = verdict.agreed_after, verdict.used_after
+        self.settled = min(times) >= 0 and now - self.quiet_at > max(times) + SETTLED
 
     def judge_potential(self, there: list[Process]) -> None:
         """What the ledger could have in its hands now, did each begin what it may: nobody's calls change what
@@ -625,6 +634,21 @@
 )
 
 
+BEGIN = 6 * SECOND  # of the first trouble, after a start in peace
+LASTS_MOST = {"kill": 18, "step": 18, "cut": 16, "islands": 16}  # seconds
+LASTS_ELSE = 8  # seconds
+SHARES = {  # of the members, least and most that a trouble meets
+    "kill": (0.05, 0.4),
+    "cut": (0.1, 0.6),
+    "one-way": (0.05, 0.5),
+    "replace": (0.3, 0.7),
+    "pause": (0.05, 0.4),
+    "all": (1, 1),
+    "step": (0.05, 0.3),
+}
+SHARE_ELSE = (0.05, 0.3)
+
+
 def draw(
     seed: int,
     least: int = 3,
@@ -634,22 +658,40 @@
     rest: int = 25 * SECOND,
 ) -> Setting:
     """A setting of a seed: troubles within `span` after a start in peace, then `rest` in which all must
-    heal."""
+    heal. Both in microseconds."""
     chance = random.Random(f"setting {seed}")
     # Even in the logarithm: small fleets as often as large ones.
     members = min(most, int(math.exp(chance.uniform(math.log(least), math.log(most + 1)))))
-    # One process more may stand under each of `doubles` names at a time.
-    terms = Terms(
+    terms = _draw_terms(chance, members)
+    troubles = _draw_troubles(chance, members, kinds, span)
+    quiet = BEGIN + span
+    return Setting(
+        seed,
+        members,
+        terms,
+        QUICK,
+        chance.choice((0.0, 0.02, 0.1)),
+        quiet,
+        quiet + rest,
+        tuple(sorted(troubles, key=lambda each: each.at)),
+    )
+
+
+def _draw_terms(chance: random.Random, members: int) -> Terms:
+    return Terms(
         limit=members * chance.choice((2, 4, 8)),
         capacity=members,
-        doubles=1,
+        doubles=1,  # one process more may stand under each of as many names at a time
         floor_share=chance.choice((0.5, 0.7)),
         lease=1_500 * MS,
         longest=800 * MS,
         settle=200 * MS,
         voters=tuple(f"n{n}" for n in range(min(members, 5))) if chance.random() < 0.4 else (),
     )
-    begin = 6 * SECOND
+
+
+def _draw_troubles(chance: random.Random, members: int, kinds: tuple[str, ...], span: int) -> list[Trouble]:
+    """One to five; a second process under a name comes once at the most."""
     troubles: list[Trouble] = []
     doubled = False
     for _ in range(chance.randint(1, 5)):
@@ -658,52 +700,51 @@
             if doubled:
                 continue
             doubled = True
-        at = begin + int(chance.uniform(0, 0.7) * span)
-        longest = {"kill": 18, "step": 18, "cut": 16, "islands": 16}.get(kind, 8)
-        lasts = int(chance.uniform(0.1, 1.0) * min(span - (at - begin), longest * SECOND))
-        share = {
-            "kill": (0.05, 0.4),
-            "cut": (0.1, 0.6),
-            "one-way": (0.05, 0.5),
-            "replace": (0.3, 0.7),
-            "pause": (0.05, 0.4),
-            "all": (1, 1),
-            "step": (0.05, 0.3),
-        }.get(kind, (0.05, 0.3))
-        number = max(1, min(members, round(chance.uniform(*share) * members)))
-        if kind in ("double", "flap"):
-            number = 1
-        elif kind == "amnesia":  # more than half forget, the others still hold what they were dealt
-            number = members // 2 + 1
-        elif kind == "cut" and chance.random() < 0.5:
-            number = max(1, members // 2)
-        who = tuple(sorted(chance.sample(range(members), number)))
-        amount = {
-            "loss": chance.uniform(0.1, 0.4),
-            "slow": chance.uniform(0.05, 0.6),
-            "garble": 200.0,
-            "narrow": chance.uniform(500, 20_000),
-            "reorder": chance.uniform(0.1, 0.5),
-            "copies": chance.uniform(0.1, 0.5),
-            "step": chance.choice((-60.0, 60.0, -3600.0)),
-        }.get(kind, 0.0)
-        if kind == "amnesia":
-            others = tuple(each for each in range(members) if each not in who)
-            troubles.append(Trouble("cut", at, max(lasts, 4 * SECOND), others))
-            troubles.append(Trouble("kill", at + 20 * MS, int(chance.uniform(30, 300) * MS), who))
-            continue
-        troubles.append(Trouble(kind, at, lasts, who, amount))
-    quiet = begin + span
-    return Setting(
-        seed,
-        members,
-        terms,
-        QUICK,
-        chance.choice((0.0, 0.02, 0.1)),
-        quiet,
-        quiet + rest,
-        tuple(sorted(troubles, key=lambda each: each.at)),
-    )
+        troubles += _draw_trouble(chance, kind, members, span)
+    return troubles
+
+
+def _draw_trouble(chance: random.Random, kind: str, members: int, span: int) -> list[Trouble]:
+    into = int(chance.uniform(0, 0.7) * span)
+    at = BEGIN + into
+    longest = LASTS_MOST.get(kind, LASTS_ELSE) * SECOND
+    lasts = int(chance.uniform(0.1, 1.0) * min(span - into, longest))
+    number = _draw_number(chance, kind, members)
+    who = tuple(sorted(chance.sample(range(members), number)))
+    amount = _draw_amount(chance, kind)
+    if kind == "amnesia":
+        others = tuple(each for each in range(members) if each not in who)
+        return [
+            Trouble("cut", at, max(lasts, 4 * SECOND), others),
+            Trouble("kill", at + 20 * MS, int(chance.uniform(30, 300) * MS), who),
+        ]
+    return [Trouble(kind, at, lasts, who, amount)]
+
+
+def _draw_number(chance: random.Random, kind: str, members: int) -> int:
+    """How many members a trouble meets."""
+    share = SHARES.get(kind, SHARE_ELSE)
+    number = max(1, min(members, round(chance.uniform(*share) * members)))
+    if kind in ("double", "flap"):
+        return 1
+    if kind == "amnesia":  # more than half forget, the others still hold what they were dealt
+        return members // 2 + 1
+    if kind == "cut" and chance.random() < 0.5:
+        return max(1, members // 2)
+    return number
+
+
+def _draw_amount(chance: random.Random, kind: str) -> float:
+    """By kind; all are drawn, so that one kind in place of another changes nothing that comes after."""
+    return {
+        "loss": chance.uniform(0.1, 0.4),
+        "slow": chance.uniform(0.05, 0.6),
+        "garble": 200.0,
+        "narrow": chance.uniform(500, 20_000),
+        "reorder": chance.uniform(0.1, 0.5),
+        "copies": chance.uniform(0.1, 0.5),
+        "step": chance.choice((-60.0, 60.0, -3600.0)),
+    }.get(kind, 0.0)
 
 
 def play(setting: Setting) -> Verdict:
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -341,13 +341,7 @@
     def _command(self, command: Command) -> None:
         event = command.event
         if event == "OPEN":
-            self.judged["cursor"] += 1
-            self.note("open", "")
-            self.link = command.link  # the one that is read from now on
-            if command.cursor != self.cursor:
-                raise Broken(
-                    "cursor", "", f"opened at {command.cursor}, the last notice read was {self.cursor}"
-                )
+            self._opened(command)
             return
         if event in ("SYSINFO", "POST"):
             if command.ticket == "fence":
@@ -356,47 +350,61 @@
         case = self.by_ref.get(command.handle)
         if case is None:
             raise Broken("form", command.handle, f"{event} for a txn that never came")
-        ref, again = (
-            command.handle,
-            any(
-                said == f"{event} {command.arg} {command.cursor}"
-                for link, said in case.links.items()
-                if link != command.link
-            ),
-        )
-        if case.links.get(command.link) == f"{event} {command.arg} {command.cursor}":
-            raise Broken("twice", ref, f"{event} sent twice on one link")
-        case.links[command.link] = f"{event} {command.arg} {command.cursor}"
-        self.note(event.lower(), ref)
+        again = self._said(case, command)
+        self.note(event.lower(), command.handle)
         if event in ("IODONE", "NOIO") and case.end and case.ended == self.turn:
             return  # its end was read in this very turn, and may stand behind what the command came from
         if event == "SCHED":
             self._sched(case, command)
         elif event == "IODONE":
-            self.judged["reply"] += 1
-            if not again and (not case.cursor or case.reply is None):
-                raise Broken("reply", ref, "a reply was handed on, and none came for this call")
-            if case.reply is not None and base64.b64decode(command.arg) != case.reply:
-                raise Broken(
-                    "unchanged", ref, "a reply was handed on changed, or to another call than its own"
-                )
-            self._go_on(case)
+            self._handed_on(case, command, again)
         elif event == "NOIO":
-            self.judged["left-out"] += 1
-            if case.product.skip <= 0:
-                raise Broken("left-out", ref, "this product's calls may not be left out")
-            # In place of a reply that may have been lost with the link it may come later too: it names its
-            # call.
-            again = again or (
-                command.cursor == case.asked_at and any(link != command.link for link in case.links)
-            )
-            if not again and command.cursor != case.cursor:
-                raise Broken("left-out", ref, f"cursor {command.cursor}, the run waits at {case.cursor}")
-            if case.reply is not None and not case.answer and not case.gone:
-                raise Broken("call-kept", ref, "a call was left out whose good reply had come")
-            self._go_on(case)
+            self._left_out(case, command, again)
         else:
-            raise Broken("form", ref, f"no command: {event}")
+            raise Broken("form", command.handle, f"no command: {event}")
+
+    def _opened(self, command: Command) -> None:
+        """A link to the kernel was made, and tells up to where notices were read."""
+        self.judged["cursor"] += 1
+        self.note("open", "")
+        self.link = command.link  # the one that is read from now on
+        if command.cursor != self.cursor:
+            raise Broken("cursor", "", f"opened at {command.cursor}, the last notice read was {self.cursor}")
+
+    def _said(self, case: Case, command: Command) -> bool:
+        """Keeps what was said of a run on this link; True where it was said on an earlier one already."""
+        words = f"{command.event} {command.arg} {command.cursor}"
+        again = any(said == words for link, said in case.links.items() if link != command.link)
+        if case.links.get(command.link) == words:
+            raise Broken("twice", command.handle, f"{command.event} sent twice on one link")
+        case.links[command.link] = words
+        return again
+
+    def _handed_on(self, case: Case, command: Command, again: bool) -> None:
+        """A call's reply was handed on to its run."""
+        ref = command.handle
+        self.judged["reply"] += 1
+        if not again and (not case.cursor or case.reply is None):
+            raise Broken("reply", ref, "a reply was handed on, and none came for this call")
+        if case.reply is not None and base64.b64decode(command.arg) != case.reply:
+            raise Broken("unchanged", ref, "a reply was handed on changed, or to another call than its own")
+        self._go_on(case)
+
+    def _left_out(self, case: Case, command: Command, again: bool) -> None:
+        """A run was told to go on without its call."""
+        ref = command.handle
+        self.judged["left-out"] += 1
+        if case.product.skip <= 0:
+            raise Broken("left-out", ref, "this product's calls may not be left out")
+        # In place of a reply that may have been lost with the link it may come later too: it names its call.
+        again = again or (
+            command.cursor == case.asked_at and any(link != command.link for link in case.links)
+        )
+        if not again and command.cursor != case.cursor:
+            raise Broken("left-out", ref, f"cursor {command.cursor}, the run waits at {case.cursor}")
+        if case.reply is not None and not case.answer and not case.gone:
+            raise Broken("call-kept", ref, "a call was left out whose good reply had come")
+        self._go_on(case)
 
     def _sched(self, case: Case, command: Command) -> None:
         ref = case.ask.ref
