--- a/limeridge/trial/crowd.py
+++ b/limeridge/trial/crowd.py
@@ -79,61 +79,82 @@
 
 
 def run(folder: Path, count: int, peers: bool, voters: int, seconds: float) -> dict[str, Any]:
+    """What each of `count` instances takes at rest, over `seconds`; ends all that it started."""
     (folder / "key").write_bytes(b"a key of measurements")
     (folder / "key").chmod(0o600)
     children = [subprocess.Popen([sys.executable, "-c", FAR, str(count)])]
     try:
         time.sleep(1.0)
         begun = time.monotonic()
-        instances = []
+        instances: list[subprocess.Popen[bytes]] = []
         for number in range(count):
-            path, settings = files(folder, number, count, voters)
-            with (folder / f"{number}.log").open("wb") as log:
-                instances.append(
-                    subprocess.Popen(
-                        [sys.executable, "-m", "limeridge", *(["--peers", str(settings)] if peers else [])],
-                        env=os.environ | {"BALANCER_CONFIG": str(path)},
-                        stdout=log,
-                        stderr=log,
-                    )
-                )
-        children += instances
+            child = begin(folder, number, count, voters, peers)
+            children.append(child)
+            instances.append(child)
         started = time.monotonic() - begun
         told: dict[str, Any] = {"processes": count, "peers": peers, "voters": voters}
         if peers:
-            while not all((folder / f"{number}.sock").exists() for number in range(count)):
-                time.sleep(0.1)
-            told["all_up_s"] = round(time.monotonic() - begun, 1)
-            while time.monotonic() < begun + KNOWN_MOST and known(folder, count) < count:
-                time.sleep(0.25)
-            told["known_s"] = round(time.monotonic() - begun, 1)
-            told["know_all"] = known(folder, count)
+            told |= until_known(folder, count, begun)
         else:
             time.sleep(15.0)
         time.sleep(10.0)  # views and shares settle
-        before, since = [used_by(each.pid) for each in instances], time.monotonic()
-        time.sleep(seconds)
-        took = time.monotonic() - since
-        used = sorted((used_by(each.pid) - one) / took for each, one in zip(instances, before, strict=True))
-        memory = [memory_mb(each.pid) for each in instances]
+        weighed = weigh(instances, seconds)
         if peers:
             told["dealt"] = sum(ask(folder / f"{n}.sock", b"brief")["calls"] for n in range(count))
             told["limit"] = 4 * count
-        told |= {
-            "processor": round(median(used), 5),
-            "processor_worst": round(used[-1], 5),
-            "resident_mb": round(median(each for each, _ in memory), 1),
-            "own_mb": round(median(each for _, each in memory), 1),
-            "started_in_s": round(started, 1),
-            "alive": sum(each.poll() is None for each in instances),
-        }
+        told |= weighed
+        told["started_in_s"] = round(started, 1)
+        told["alive"] = sum(each.poll() is None for each in instances)
         return told
     finally:
-        for child in children:
-            if child.poll() is None:
-                child.send_signal(signal.SIGKILL)
-        for child in children:
-            child.wait()
+        end(children)
+
+
+def begin(folder: Path, number: int, count: int, voters: int, peers: bool) -> subprocess.Popen[bytes]:
+    """Starts one instance, which logs into `folder`."""
+    path, settings = files(folder, number, count, voters)
+    with (folder / f"{number}.log").open("wb") as log:
+        return subprocess.Popen(
+            [sys.executable, "-m", "limeridge", *(["--peers", str(settings)] if peers else [])],
+            env=os.environ | {"BALANCER_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+
+def until_known(folder: Path, count: int, begun: float) -> dict[str, Any]:
+    """Waits until all know all, KNOWN_MOST seconds at most; the times in seconds since `begun`."""
+    while not all((folder / f"{number}.sock").exists() for number in range(count)):
+        time.sleep(0.1)
+    up = round(time.monotonic() - begun, 1)
+    while time.monotonic() < begun + KNOWN_MOST and known(folder, count) < count:
+        time.sleep(0.25)
+    at = round(time.monotonic() - begun, 1)
+    return {"all_up_s": up, "known_s": at, "know_all": known(folder, count)}
+
+
+def weigh(instances: list[subprocess.Popen[bytes]], seconds: float) -> dict[str, Any]:
+    """Processor (cores) over `seconds`, then memory (MB): the median of the instances."""
+    before, since = [used_by(each.pid) for each in instances], time.monotonic()
+    time.sleep(seconds)
+    took = time.monotonic() - since
+    used = sorted((used_by(each.pid) - one) / took for each, one in zip(instances, before, strict=True))
+    memory = [memory_mb(each.pid) for each in instances]
+    return {
+        "processor": round(median(used), 5),
+        "processor_worst": round(used[-1], 5),
+        "resident_mb": round(median(each for each, _ in memory), 1),
+        "own_mb": round(median(each for _, each in memory), 1),
+    }
+
+
+def end(children: list[subprocess.Popen[bytes]]) -> None:
+    """Kills those that still run, and waits for all."""
+    for child in children:
+        if child.poll() is None:
+            child.send_signal(signal.SIGKILL)
+    for child in children:
+        child.wait()
 
 
 def main() -> None:
--- a/limeridge/trial/judge.py
+++ b/limeridge/trial/judge.py
@@ -10,7 +10,7 @@
 from statistics import median
 from typing import Any
 
-from limeridge.trial.scenario import BLURS, Trial
+from limeridge.trial.scenario import BLURS, Act, Trial
 
 AFTER = 8_000_000  # microseconds after a fault of links in which a member may still be held dead for it
 SPARE = 0.95  # of what can be dealt out
@@ -136,71 +136,99 @@
 
 
 def _deaths(trial: Trial, record: Record, verdict: Verdict) -> None:
-    expect, blurred = trial.expect, [act for act in trial.acts if act.kind in BLURS]
-    first: dict[int, int] = {}
-    for life in record.lives:
-        first[life.number] = min(first.get(life.number, life.start), life.start)
+    """Whether the dead were held dead in time, and how many of the living were held dead."""
     for life in record.lives:
         if life.end is None or life.told or life.double or life.end < 0:
             continue
-        successor = min(
-            (
-                each.start
-                for each in record.lives
-                if each.number == life.number and not each.double and each.start > life.start
-            ),
-            default=record.end,
-        )
-        watchers = {
-            each.number
-            for each in record.lives
-            if not each.double
-            and each.start < life.end - 2_000_000
-            and (each.end is None or each.end >= min(successor, record.end))
-            and each.number != life.number
-        }
-        watchers -= {number for act in blurred for number in act.who}
-        seen = {
-            line.watcher: line.at
-            for line in reversed(record.lines)
-            if line.code == "gone" and line.peer == life.number and life.end <= line.at <= successor
-        }
-        times = [seen[watcher] - life.end for watcher in watchers if watcher in seen]
-        bound = expect.detect
-        if bound is not None and successor - life.end > bound and watchers:
-            late = sorted(watcher for watcher in watchers if seen.get(watcher, successor) - life.end > bound)
-            if late:
-                verdict.broke.append(
-                    f"detect: n{life.number} was not held gone within {bound / 1e6:g} s by "
-                    + ", ".join(f"n{number}" for number in late[:5])
-                )
-        if times and len(times) == len(watchers):
-            verdict.detect_ms.append(max(times) // 1_000)
+        _detection(trial, record, life, life.end, verdict)
+    verdict.false_deaths = _false_deaths(trial, record)
+    most = trial.expect.false_deaths
+    if most is not None and verdict.false_deaths > most:
+        verdict.broke.append(f"false deaths: {verdict.false_deaths}, expected {most} at most")
+
+
+def _detection(trial: Trial, record: Record, life: Life, end: int, verdict: Verdict) -> None:
+    """When those who could hear of the end of `life`, at `end` microseconds, held it gone."""
+    successor = _successor(record, life)
+    watchers = _watchers(trial, record, life, end, successor)
+    seen = {
+        line.watcher: line.at
+        for line in reversed(record.lines)
+        if line.code == "gone" and line.peer == life.number and end <= line.at <= successor
+    }
+    times = [seen[watcher] - end for watcher in watchers if watcher in seen]
+    bound = trial.expect.detect
+    if bound is not None and successor - end > bound and watchers:
+        late = sorted(watcher for watcher in watchers if seen.get(watcher, successor) - end > bound)
+        if late:
+            verdict.broke.append(
+                f"detect: n{life.number} was not held gone within {bound / 1e6:g} s by "
+                + ", ".join(f"n{number}" for number in late[:5])
+            )
+    if times and len(times) == len(watchers):
+        verdict.detect_ms.append(max(times) // 1_000)
+
+
+def _successor(record: Record, life: Life) -> int:
+    """When the next process under the same name began, or the end of the record."""
+    starts = (
+        each.start
+        for each in record.lives
+        if each.number == life.number and not each.double and each.start > life.start
+    )
+    return min(starts, default=record.end)
+
+
+def _watchers(trial: Trial, record: Record, life: Life, end: int, successor: int) -> set[int]:
+    """Those who lived from before the end of `life` until its successor, and met no blurring fault."""
+    watchers = {
+        each.number
+        for each in record.lives
+        if not each.double
+        and each.start < end - 2_000_000
+        and (each.end is None or each.end >= min(successor, record.end))
+        and each.number != life.number
+    }
+    return watchers - {number for act in _blurring(trial) for number in act.who}
+
+
+def _blurring(trial: Trial) -> list[Act]:
+    """Faults during which the living may be held dead for good reason."""
+    return [act for act in trial.acts if act.kind in BLURS]
+
+
+def _false_deaths(trial: Trial, record: Record) -> int:
+    """How many of the living were held dead, each counted once however many told of it."""
     told: dict[int, int] = {}
+    count = 0
     for line in record.lines:
-        if line.code != "gone" or line.at < 0:
+        if line.code != "gone" or line.at < 0 or not _is_false(trial, record, line):
             continue
-        lived = any(
-            life.number == line.peer
-            and not life.told
-            and life.start <= line.at
-            and (life.end is None or life.end > line.at)
-            and not life.double
-            for life in record.lives
-        )
-        # A death just before a restart may be told after it, of the older life.
-        lately = any(
-            life.number == line.peer and life.end is not None and line.at - AFTER <= life.end <= line.at
-            for life in record.lives
-        )
-        blur = any(act.at <= line.at <= act.at + act.lasts + AFTER for act in blurred)
-        look = next((look for look in reversed(record.looks) if look.at <= line.at), None)
-        older = look is not None and line.life != look.own.get(line.peer, line.life)
-        if lived and not lately and not older and not blur and line.at - told.get(line.peer, -AFTER) >= AFTER:
+        if line.at - told.get(line.peer, -AFTER) >= AFTER:
             told[line.peer] = line.at  # the same death, as another one heard of it, is not counted again
-            verdict.false_deaths += 1
-    if expect.false_deaths is not None and verdict.false_deaths > expect.false_deaths:
-        verdict.broke.append(f"false deaths: {verdict.false_deaths}, expected {expect.false_deaths} at most")
+            count += 1
+    return count
+
+
+def _is_false(trial: Trial, record: Record, line: Line) -> bool:
+    """Whether a member that was held dead lived, and nothing excuses the error."""
+    lived = any(
+        life.number == line.peer
+        and not life.told
+        and life.start <= line.at
+        and (life.end is None or life.end > line.at)
+        and not life.double
+        for life in record.lives
+    )
+    # A death just before a restart may be told after it, of the older life.
+    lately = any(
+        life.number == line.peer and life.end is not None and line.at - AFTER <= life.end <= line.at
+        for life in record.lives
+    )
+    blur = any(act.at <= line.at <= act.at + act.lasts + AFTER for act in _blurring(trial))
+    look = next((look for look in reversed(record.looks) if look.at <= line.at), None)
+    older = look is not None and line.life != look.own.get(line.peer, line.life)
+    return lived and not lately and not older and not blur
 
 
 def _after(trial: Trial, record: Record, verdict: Verdict) -> None:
--- a/limeridge/trial/scenario.py
+++ b/limeridge/trial/scenario.py
@@ -206,30 +206,9 @@
         )
         for act in message.act
     )
-    given, interval = message.terms, int((message.interval_ms or 300) * MS)
-    doubled = sum(len(act.who) for act in acts if act.kind is Kind.DOUBLE)
-    terms = Terms(
-        limit=given.limit or 3 * count,
-        capacity=given.capacity or count,
-        doubles=max(1, doubled),
-        voters=tuple(f"n{number}" for number in range(given.voters)),
-        floor_share=given.floor_share or 0.5,
-        lease=int((given.lease_ms or 1_500) * MS),
-        settle=int((given.settle_ms or 200) * MS),
-    )
+    interval = int((message.interval_ms or 300) * MS)
+    terms, expect = _terms(message.terms, count, acts), _expected(message.expect)
     zones = tuple(LETTERS[number % message.zones] if message.zones else "" for number in range(count))
-    wanted = message.expect
-
-    def bound(value: float) -> int | None:
-        return int(value * MS) if value else None
-
-    expect = Expect(
-        bound(wanted.detect_ms),
-        wanted.false_deaths if wanted.HasField("false_deaths") else None,
-        bound(wanted.agree_ms),
-        bound(wanted.use_ms),
-        wanted.unanswered if wanted.HasField("unanswered") else None,
-    )
     return Trial(
         message.name,
         message.about,
@@ -246,3 +225,32 @@
         name,
         message.list_join,
     )
+
+
+def _terms(given: pb.TrialTerms, count: int, acts: tuple[Act, ...]) -> Terms:
+    """Of the limit that `count` instances share; a name more may be taken twice for each such fault."""
+    doubled = sum(len(act.who) for act in acts if act.kind is Kind.DOUBLE)
+    return Terms(
+        limit=given.limit or 3 * count,
+        capacity=given.capacity or count,
+        doubles=max(1, doubled),
+        voters=tuple(f"n{number}" for number in range(given.voters)),
+        floor_share=given.floor_share or 0.5,
+        lease=int((given.lease_ms or 1_500) * MS),
+        settle=int((given.settle_ms or 200) * MS),
+    )
+
+
+def _expected(wanted: pb.Expect) -> Expect:
+    return Expect(
+        _bound(wanted.detect_ms),
+        wanted.false_deaths if wanted.HasField("false_deaths") else None,
+        _bound(wanted.agree_ms),
+        _bound(wanted.use_ms),
+        wanted.unanswered if wanted.HasField("unanswered") else None,
+    )
+
+
+def _bound(milliseconds: float) -> int | None:
+    """In microseconds; None where no bound is set."""
+    return int(milliseconds * MS) if milliseconds else None
