Judge the calls of all lives of an instance together

Cause: each life's calls were judged by themselves, so that a second share after a restart was in no rule; and no scenario had a share under one call, where the charge after a restart decides.

Change: the rule call-limit-lives.

--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -788,6 +788,13 @@
         "",
         "what the last turn read is not answered before the streams end",
     ),
+    _m(
+        "restart-uncharged",
+        BRAIN,
+        "        if self.cold:  # against a restart's second share",
+        "        if False:  # against a restart's second share",
+        "the calls of the life before are not counted after a restart",
+    ),
     _m(
         "key-lost-to-copier",
         FACADE,
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -10,7 +10,7 @@
 import base64
 import heapq
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from limeridge.sim.plan import Plan, Product
@@ -57,6 +57,7 @@
     "crossed": "a request that crosses its connection's end is answered, or never runs and sees no reset",
     "kept-back": "what ended well is answered with its result",
     "call-limit": "calls in hand within the own share",
+    "call-limit-lives": "calls in hand of all lives of an instance together within its share",
     "memory": "memory as it is booked",
     "crowd": "runs on the cores within what is survived",
     "unchanged": "bodies and replies reach the other end as they came",
@@ -153,6 +154,7 @@
         judged: Counter[str],
         kernel_up: int,
         cold: bool,
+        earlier: Sequence[tuple[int, int]] = (),  # begins and ends of the calls of lives before this one
     ) -> None:
         self.plan, self.born, self.offset, self.paused, self.note = plan, born, offset, paused, note
         self.judged = judged
@@ -179,6 +181,7 @@
         self.memory_check = born
         self.calls: dict[int, Out] = {}
         self.past: deque[tuple[int, int]] = deque()
+        self.earlier = tuple(earlier)
         self.closed = False
         self.lines: dict[int, bool] = {}  # open ones of callers: whether it sent a request or a check
         self.closing: set[int] = set()  # lines whose end the instance asked for
@@ -624,20 +627,30 @@
         self.past.append((out.begun, end))
 
     def _judge_calls(self) -> None:
-        """Time in hand within the window past, lingering counted: the mean must stay within the own share."""
-        self.judged["call-limit"] += 1
+        """Time in hand within the window past, lingering counted: its mean must stay within the own share, of
+        this life and of all lives together."""
         start = self.now - self.plan.calls_over
         while self.past and self.past[0][1] <= start:
             self.past.popleft()
-        spans = [
-            *self.past,
-            *((out.begun, out.end if out.replied else self.now) for out in self.calls.values()),
-        ]
+        own = self._calls_taken(self.spans(self.now))
+        self._judge_share("call-limit", own, "calls in hand in the mean")
+        if self.earlier:
+            all_lives = own + self._calls_taken(self.earlier)
+            self._judge_share("call-limit-lives", all_lives, "calls in hand in the mean over all lives")
+
+    def spans(self, now: int, linger: int = 0) -> list[tuple[int, int]]:
+        """Begin and end of each call of this life, as far as the window asks; those that are out end now and
+        stay in hand for `linger` microseconds more."""
+        out = [(each.begun, each.end if each.replied else now + linger) for each in self.calls.values()]
+        return [*self.past, *out]
+
+    def _calls_taken(self, spans: Iterable[tuple[int, int]]) -> float:
+        """Calls in hand in the mean over the window past."""
+        start = self.now - self.plan.calls_over
         area = sum(max(0, min(end, self.now) - max(begin, start)) for begin, end in spans)
-        if area > self.plan.calls_out * self.plan.calls_over:
-            raise Broken(
-                "call-limit",
-                "",
-                f"{area / self.plan.calls_over:.2f} calls in hand in the mean, "
-                f"{self.plan.calls_out:.2f} are the share",
-            )
+        return area / self.plan.calls_over
+
+    def _judge_share(self, rule: str, taken: float, what: str) -> None:
+        self.judged[rule] += 1
+        if taken > self.plan.calls_out:
+            raise Broken(rule, "", f"{taken:.2f} {what}, {self.plan.calls_out:.2f} are the share")
--- a/limeridge/sim/plan.py
+++ b/limeridge/sim/plan.py
@@ -298,6 +298,7 @@
     faults: Range = (3, 9)
     kinds: tuple[Kind, ...] = USUAL_KINDS
     bad_callers: Range = (0, 0)  # faults of these kinds beside the others
+    calls_out: Range = (0, 0)  # the share of calls in hand; one of four usual ones where (0, 0)
     scripted: tuple[Fault, ...] = ()
     quanta: tuple[int, ...] = (1, 1, 100, 1_000, 5_000)
     ties: Ties = Ties.DRAWN
@@ -364,7 +365,7 @@
         quiet=span,
         quantum=chance.choice(ranges.quanta),
         ties=ranges.ties,
-        calls_out=chance.choice((2.0, 4.0, 8.0, 16.0)),
+        calls_out=draw_calls_out(ranges, seed, usual=chance.choice((2.0, 4.0, 8.0, 16.0))),
         calls_over=chance.choice((SECOND, 2 * SECOND)),
         memory_kb=chance.choice((1_500.0, 5_000.0, 20_000.0)),
         grace=whole(chance, ranges.grace_ms) * MS,
@@ -472,6 +473,13 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def draw_calls_out(ranges: Ranges, seed: int, usual: float) -> float:
+    """The share of calls in hand, from a stream of its own where the scenario sets its range."""
+    if ranges.calls_out[1] <= 0:
+        return usual
+    return round(spread(random.Random(f"{ranges.name}/{seed}/calls out"), ranges.calls_out), 2)
+
+
 def draw_bad_callers(ranges: Ranges, seed: int, span: int, instances: int) -> list[Fault]:
     """Beside the other faults, from a stream of their own: all else is drawn as it is without them."""
     chance = random.Random(f"{ranges.name}/{seed}/bad callers")
--- a/limeridge/sim/scenario.py
+++ b/limeridge/sim/scenario.py
@@ -40,6 +40,7 @@
     "calls": (0, 8),
     "faults": (0, 50),
     "bad_callers": (0, 50),
+    "calls_out": (0.05, 64),
     "expiry_ms": (50, 60_000),
     "stop_ms": (200, 60_000),
     "grace_ms": (0, 60_000),
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -73,6 +73,7 @@
 REPORTED = 3 * SECOND  # within which an instance that reports is on the list, whatever gets lost
 STEPS_MOST = 2_000_000
 KINDS = {"free": "inquiry-like", "guarded": "referenced", "single_shot": "once-only"}
+LINGER = 100 * MS  # that a call left behind stays in the records service's hands
 SIGHUP, SIGTERM = 1, 15
 
 
@@ -123,6 +124,7 @@
         self.left = False
         self.link: Any = None  # to the other members
         self.drift = world.chance(f"drift {number}").uniform(-DRIFT, DRIFT)
+        self.calls_before: list[tuple[int, int]] = []  # begins and ends of calls of lives that are over
         self.keyed: deque[Asked] = deque(maxlen=KEYED_KEPT)  # lately read by this life, with a key
         self.late_senders: dict[int, LateSender] = {}  # by the serial of this instance's own end
         self.armed: list[list[Any]] = []  # faults that wait for an event: fault, how many are still to come
@@ -167,6 +169,7 @@
             world.judged,
             now + plan.boot,
             cold,
+            self.calls_before,
         )
         tap = Recorder(
             frozenset(product.name for product in plan.products),
@@ -270,6 +273,9 @@
     def die(self, in_order: bool) -> None:
         if self.instance is not None:
             self.oracles.closed = True
+            now = self.world.timeline.now
+            spans = [*self.calls_before, *self.oracles.spans(now, linger=LINGER)]
+            self.calls_before = [span for span in spans if span[1] > now - self.world.plan.calls_over]
             self.instance = None
             self.reactor.shut(in_order)
             self.kernel_reactor.shut(in_order)
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -638,6 +638,20 @@
     book.run(ref)
     book.note("IOREQ", ref, arg="Y2FsbA==")
     book.breaks("call-limit", book.see, CallMade(4, ref, 2_000, b"call"))
+    for earlier in ((), [(BEGIN - SECOND, BEGIN)] * 2):  # calls in hand of the life before, in all the window
+        book = Book()
+        book.oracles.earlier = tuple(earlier)
+        for number in range(1, 5):
+            ref = book.ask(number)
+            book.run(ref)
+            book.note("IOREQ", ref, arg="Y2FsbA==")
+            if number < 4:
+                book.see(CallMade(number, ref, 2_000, b"call"))
+        book.go(100_000)
+        if earlier:
+            book.breaks("call-limit-lives", book.see, CallMade(4, ref, 2_000, b"call"))
+        else:
+            book.see(CallMade(4, ref, 2_000, b"call"))
 
 
 # ---- finding and making small
