Refuse for good what does not fit: a refusal is a revision of its own

A draft that no tables could take is refused at once, by anybody; one that does not fit the tables now is appended as refused, answered once that is committed, and stays refused by its change id.

--- a/limeridge/configuration/chain.py
+++ b/limeridge/configuration/chain.py
@@ -16,8 +16,15 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from limeridge.configuration.changes import Draft, draft_bytes, fingerprint_of, packed, text_bytes
-from limeridge.configuration.checks import check_draft
+from limeridge.configuration.changes import (
+    Change,
+    Draft,
+    draft_bytes,
+    fingerprint_of,
+    packed,
+    text_bytes,
+)
+from limeridge.configuration.checks import Fault, Refused, check_fit, check_form
 from limeridge.configuration.tables import DIGEST_BYTES, Tables, TablesEditor
 
 HASH_BYTES = 16
@@ -73,12 +80,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Revision:
-    """One step of the chain. Without changes where a publisher took over."""
+    """One step of the chain. Its draft has no changes where a publisher took over."""
 
     number: int
     token: FencingToken
     time: int  # Unix time in microseconds as the publisher's clock had it; it may step back
     draft: Draft
+    refused: bool = False  # did not fit the tables before it
+
+    @property
+    def changes(self) -> tuple[Change, ...]:
+        """What it does to the tables."""
+        return () if self.refused else self.draft.changes
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,11 +110,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Receipt:
-    """The answer to an author; `again` where the change id had been accepted before."""
+    """The answer to an author, good once the revision is committed.
+
+    `again` where the change id had been decided on before. `refused` where the draft does not fit the tables;
+    `faults` then says why, the first time.
+    """
 
     number: int
     hash: bytes
-    again: bool
+    again: bool = False
+    refused: bool = False
+    faults: tuple[Fault, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -111,6 +130,7 @@
     number: int
     hash: bytes
     fingerprint: bytes
+    refused: bool
 
 
 def hash_of(previous: bytes, revision: Revision, digest: int) -> bytes:
@@ -122,6 +142,7 @@
         text_bytes(token.holder),
         b"%d" % token.nonce,
         b"%d" % revision.time,
+        b"%d" % revision.refused,
         draft_bytes(revision.draft),
         digest.to_bytes(DIGEST_BYTES, "big"),
     )
@@ -183,17 +204,27 @@
             return None
         if before.fingerprint != fingerprint_of(draft):
             raise ChangeIdReused(f"the change id {draft.change_id!r} stands for other changes")
-        return Receipt(before.number, before.hash, again=True)
+        return Receipt(before.number, before.hash, again=True, refused=before.refused)
 
     def accept(self, draft: Draft, token: FencingToken, time: int) -> Receipt:
-        """Append a draft; it counts once it is committed. Raises ChainFault, Refused."""
+        """Append a draft, or that it is refused; either counts once it is committed.
+
+        Raises ChainFault, and Refused for a draft that no tables could take. What does not fit these tables
+        is appended too, for the same asking may be on its way to another holder, or come late to this one.
+        """
         if token != self.head.token or token < self.promised:
             raise StaleToken(f"revision {self.head.number} was written under another token")
         if (receipt := self.receipt(draft)) is not None:
             return receipt
-        check_draft(self.tables, draft)
-        entry = self._append(Revision(self.head.number + 1, token, time, draft))
-        return Receipt(entry.revision.number, entry.hash, again=False)
+        check_form(draft)
+        faults: tuple[Fault, ...] = ()
+        try:
+            check_fit(self.tables, draft)
+        except Refused as refused:
+            faults = refused.faults
+        revision = Revision(self.head.number + 1, token, time, draft, refused=bool(faults))
+        entry = self._append(revision)
+        return Receipt(revision.number, entry.hash, refused=revision.refused, faults=faults)
 
     def take_over(self, token: FencingToken, time: int) -> Entry:
         """Append the revision without changes that a new holder begins with. Raises StaleToken."""
@@ -285,7 +316,7 @@
     def _remember(self, entry: Entry) -> None:
         draft = entry.revision.draft
         self._remembered[draft.change_id] = Remembered(
-            entry.revision.number, entry.hash, fingerprint_of(draft)
+            entry.revision.number, entry.hash, fingerprint_of(draft), entry.revision.refused
         )
         while len(self._remembered) > REMEMBERED_MOST:
             del self._remembered[next(iter(self._remembered))]
@@ -306,11 +337,11 @@
     """The tables after all entries, built once."""
     editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
     for entry in entries:
-        editor.apply(entry.revision.draft.changes)
+        editor.apply(entry.revision.changes)
     return editor.build()
 
 
 def replayed_revision(tables: Tables, revision: Revision) -> Tables:
     editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
-    editor.apply(revision.draft.changes)
+    editor.apply(revision.changes)
     return editor.build()
--- a/limeridge/configuration/checks.py
+++ b/limeridge/configuration/checks.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import islice
 
 from limeridge.configuration.changes import (
     AUTHOR_MOST,
@@ -56,15 +57,20 @@
         self.faults = faults
 
 
+def check_form(draft: Draft) -> None:
+    """Raises Refused for what no tables could take: types, bounds, one entry changed twice."""
+    _refuse(_form_faults(draft))
+
+
+def check_fit(tables: Tables, draft: Draft) -> None:
+    """Raises Refused where a draft of good form can't be made to these tables: references, sums, sizes."""
+    _refuse(_fit_faults(tables, draft))
+
+
 def check_draft(tables: Tables, draft: Draft) -> None:
     """Raises Refused where the draft can't be made to the tables."""
-    faults: list[Fault] = []
-    for fault in _faults(tables, draft):
-        faults.append(fault)
-        if len(faults) == FAULTS_MOST:
-            break
-    if faults:
-        raise Refused(tuple(faults))
+    check_form(draft)
+    check_fit(tables, draft)
 
 
 def routes_without_effect(tables: Tables, draft: Draft) -> Iterator[Fault]:
@@ -82,25 +88,36 @@
                 )
 
 
-def _faults(tables: Tables, draft: Draft) -> Iterator[Fault]:
-    text_faults = list(_text_faults(draft))
-    if text_faults:
-        yield from text_faults
-        return
+def _refuse(found: Iterator[Fault]) -> None:
+    faults = tuple(islice(found, FAULTS_MOST))
+    if faults:
+        raise Refused(faults)
+
+
+def _form_faults(draft: Draft) -> Iterator[Fault]:
+    alone = list(islice(_faults_alone(draft), FAULTS_MOST))
+    if alone:
+        yield from alone
+    elif len(draft_bytes(draft)) > DRAFT_MOST:
+        yield Fault("changes", f"expected at most {DRAFT_MOST} bytes in all")
+    else:
+        yield from _double_faults(draft)
+
+
+def _faults_alone(draft: Draft) -> Iterator[Fault]:
+    yield from _text_faults(draft)
     if len(draft.changes) > CHANGES_MOST:
         yield Fault("changes", f"expected at most {CHANGES_MOST}")
         return
-    whole = True  # so far each text and each change is good alone
     for index, change in enumerate(draft.changes):
-        for fault in _change_faults(tables, change, f"changes.{index}"):
-            whole = False
-            yield fault
-    if whole and len(draft_bytes(draft)) > DRAFT_MOST:
-        yield Fault("changes", f"expected at most {DRAFT_MOST} bytes in all")
-    elif whole:
-        yield from _double_faults(draft)
-        yield from _share_faults(tables.limits, draft)
-        yield from _size_faults(tables, draft)
+        yield from _change_faults(change, f"changes.{index}")
+
+
+def _fit_faults(tables: Tables, draft: Draft) -> Iterator[Fault]:
+    for index, change in enumerate(draft.changes):
+        yield from _reference_faults(tables, change, f"changes.{index}")
+    yield from _share_faults(tables.limits, draft)
+    yield from _size_faults(tables, draft)
 
 
 def _text_faults(draft: Draft) -> Iterator[Fault]:
@@ -130,29 +147,44 @@
         yield Fault(place, f"expected a number from 0 to {most:g}")
 
 
-def _change_faults(tables: Tables, change: Change, place: str) -> Iterator[Fault]:
-    """Types, bounds and references of one change."""
+def _change_faults(change: Change, place: str) -> Iterator[Fault]:
+    """Types and bounds of one change."""
     match change:
         case PutTenant(name, quota):
             yield from _text_fault(f"{place}.name", name, NAME_MOST)
             yield from _number_fault(f"{place}.quota", quota, QUOTA_MOST)
         case RemoveTenant(name):
-            if not isinstance(name, str) or tables.tenants.find(name) is None:
-                yield Fault(f"{place}.name", f"there is no tenant {name!r}")
+            yield from _text_fault(f"{place}.name", name, NAME_MOST)
         case PutRoute(prefix, class_name):
-            if (fault := prefix_fault(prefix)) is not None:
-                yield Fault(f"{place}.prefix", fault)
-            elif not _is_unicode(prefix):
-                yield Fault(f"{place}.prefix", "expected Unicode, got half of a surrogate pair")
-            yield from _class_fault(tables.limits, class_name, place)
+            yield from _prefix_fault(prefix, place)
+            yield from _text_fault(f"{place}.class_name", class_name, NAME_MOST)
         case RemoveRoute(prefix):
-            if not isinstance(prefix, str) or tables.routes.get(prefix) is None:
-                yield Fault(f"{place}.prefix", f"there is no route {prefix!r}")
+            yield from _prefix_fault(prefix, place)
         case SetClassLimit(class_name, share):
-            yield from _class_fault(tables.limits, class_name, place)
+            yield from _text_fault(f"{place}.class_name", class_name, NAME_MOST)
             yield from _number_fault(f"{place}.share", share, SHARES_MOST)
 
 
+def _prefix_fault(prefix: str, place: str) -> Iterator[Fault]:
+    if (fault := prefix_fault(prefix)) is not None:
+        yield Fault(f"{place}.prefix", fault)
+    elif not _is_unicode(prefix):
+        yield Fault(f"{place}.prefix", "expected Unicode, got half of a surrogate pair")
+
+
+def _reference_faults(tables: Tables, change: Change, place: str) -> Iterator[Fault]:
+    """Of one change to what is not there."""
+    match change:
+        case RemoveTenant(name):
+            if tables.tenants.find(name) is None:
+                yield Fault(f"{place}.name", f"there is no tenant {name!r}")
+        case RemoveRoute(prefix):
+            if tables.routes.get(prefix) is None:
+                yield Fault(f"{place}.prefix", f"there is no route {prefix!r}")
+        case PutRoute(_, class_name) | SetClassLimit(class_name, _):
+            yield from _class_fault(tables.limits, class_name, place)
+
+
 def _class_fault(limits: ClassLimits, class_name: str, place: str) -> Iterator[Fault]:
     if limits.find(class_name) is None:
         yield Fault(f"{place}.class_name", f"there is no class {class_name!r}")
--- a/limeridge/configuration/encoding.py
+++ b/limeridge/configuration/encoding.py
@@ -98,6 +98,7 @@
     number: Natural
     token: WireToken
     time: Time
+    refused: bool
     change_id: Annotated[str, Meta(max_length=CHANGE_ID_MOST)]
     author: Annotated[str, Meta(max_length=AUTHOR_MOST)]
     reason: Annotated[str, Meta(max_length=REASON_MOST)]
@@ -286,6 +287,7 @@
         revision.number,
         _wire_token(revision.token),
         revision.time,
+        revision.refused,
         draft.change_id,
         draft.author,
         draft.reason,
@@ -295,7 +297,7 @@
 
 def _revision(wire: WireRevision) -> Revision:
     draft = Draft(wire.change_id, wire.author, wire.reason, tuple(map(_change, wire.changes)))
-    return Revision(wire.number, _token(wire.token), wire.time, draft)
+    return Revision(wire.number, _token(wire.token), wire.time, draft, wire.refused)
 
 
 def _wire_change(change: Change) -> WireChange:
--- a/limeridge/configuration/subscriber.py
+++ b/limeridge/configuration/subscriber.py
@@ -198,7 +198,7 @@
         chain_hash = head.hash
         for revision in revisions:
             try:
-                editor.apply(revision.draft.changes)
+                editor.apply(revision.changes)
             except CantApply:
                 return None
             chain_hash = hash_of(chain_hash, revision, editor.digest)
