--- /dev/null
+++ b/limeridge/configuration/compare.py
@@ -0,0 +1,384 @@
+"""Ways to hold tenants and routes, measured: bytes an entry, look-up, change.
+
+    python -m limeridge.configuration.compare                 # a table in Markdown
+    python -m limeridge.configuration.compare --json --sizes 1000 10000
+
+It owns the ways that were weighed and not taken. A change gives a new table and leaves the old one as it was,
+as the tables in use do. Times are of the processor, of one thread; each is the best of three.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import sys
+import time
+from array import array
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any, Protocol
+
+from limeridge.configuration.names import NameTable, NameTableEditor
+from limeridge.configuration.routes import RouteTableEditor
+from limeridge.configuration.samples import (
+    CLASSES,
+    route_prefixes,
+    route_table,
+    size_of,
+    tenant_names,
+    tenant_table,
+)
+from limeridge.configuration.tenants import TenantTableEditor
+
+SIZES = (1_000, 10_000, 100_000, 1_000_000)
+ROUTE_SIZES = (1_000, 10_000, 69_000)
+LOOK_UPS = 20_000
+CHANGES = 20
+REPEATS = 3
+
+
+class Way(Protocol):
+    """One way to hold entries: all `Any` here is the way's own table."""
+
+    name: str
+
+    def build(self, entries: list[str]) -> Any: ...
+    def find(self, table: Any) -> Callable[[str], int | None]: ...
+    def change(self, table: Any, entry: str) -> Any: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """`look_up`, `miss` and `change` in microseconds, `build` in seconds, of the processor."""
+
+    what: str
+    way: str
+    entries: int
+    bytes_per_entry: float
+    look_up: float
+    miss: float
+    change: float
+    build: float
+
+
+class DictOfTenants:
+    """A plain dict from name to number, a list of names and one of quotas."""
+
+    name = "plain dict"
+
+    def build(self, entries: list[str]) -> Any:
+        numbers = {name: number for number, name in enumerate(entries)}
+        return numbers, list(entries), [float(number % 50) + 0.5 for number in range(len(entries))]
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        numbers: dict[str, int] = table[0]
+        return numbers.get
+
+    def change(self, table: Any, entry: str) -> Any:
+        numbers, names, quotas = dict(table[0]), list(table[1]), list(table[2])
+        numbers[entry] = len(names)
+        names.append(entry)
+        quotas.append(1.0)
+        return numbers, names, quotas
+
+
+class SortedTenants:
+    """Names as sorted byte strings, found by bisection, with an array of numbers and one of quotas."""
+
+    name = "sorted byte strings"
+
+    def build(self, entries: list[str]) -> Any:
+        order = sorted((name.encode(), number) for number, name in enumerate(entries))
+        numbers = array("I", (number for _, number in order))
+        return [name for name, _ in order], numbers, array("d", (float(n % 50) for n in range(len(order))))
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        names, numbers, _ = table
+
+        def find(name: str) -> int | None:
+            encoded = name.encode()
+            place = bisect_left(names, encoded)
+            return numbers[place] if place < len(names) and names[place] == encoded else None
+
+        return find
+
+    def change(self, table: Any, entry: str) -> Any:
+        names, numbers, quotas = list(table[0]), table[1][:], table[2][:]
+        encoded = entry.encode()
+        place = bisect_left(names, encoded)
+        names.insert(place, encoded)
+        numbers.insert(place, len(quotas))
+        quotas.append(1.0)
+        return names, numbers, quotas
+
+
+class IndexedTenants:
+    """TenantTable: pages and an open-addressing index in shards."""
+
+    name = "pages with a hash index (taken)"
+
+    def build(self, entries: list[str]) -> Any:
+        return tenant_table(entries)
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        return table.find  # type: ignore[no-any-return]
+
+    def change(self, table: Any, entry: str) -> Any:
+        editor = TenantTableEditor(table, now=1)
+        editor.put(entry, 1.0)
+        return editor.build()
+
+
+class DictOfRoutes:
+    """A plain dict from prefix to class; a path is cut shorter until it is there."""
+
+    name = "plain dict"
+
+    def build(self, entries: list[str]) -> Any:
+        return {prefix: number % len(CLASSES) for number, prefix in enumerate(entries)}
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        def find(path: str) -> int | None:
+            while path:
+                number: int | None = table.get(path)
+                if number is not None:
+                    return number
+                path = path[: path.rfind("/")]
+            return None
+
+        return find
+
+    def change(self, table: Any, entry: str) -> Any:
+        return {**table, entry: 1}
+
+
+class TreeOfRoutes:
+    """A radix tree over elements: a dict of children in each node, its class under the empty text."""
+
+    name = "radix tree of elements"
+
+    def build(self, entries: list[str]) -> Any:
+        root: dict[str, Any] = {}
+        for number, prefix in enumerate(entries):
+            node = root
+            for element in prefix.split("/")[1:]:
+                node = node.setdefault(element, {})
+            node[""] = number % len(CLASSES)
+        return root
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        def find(path: str) -> int | None:
+            node, best = table, None
+            for element in path.split("/")[1:]:
+                node = node.get(element)
+                if node is None:
+                    break
+                best = node.get("", best)
+            return best
+
+        return find
+
+    def change(self, table: Any, entry: str) -> Any:
+        elements = entry.split("/")[1:]
+        root = node = dict(table)
+        for element in elements:
+            node[element] = dict(node.get(element, {}))
+            node = node[element]
+        node[""] = 1
+        return root
+
+
+class SortedRoutes:
+    """Prefixes as sorted texts; the longest that fits is the place before the path, or one that covers it."""
+
+    name = "sorted prefixes"
+
+    def build(self, entries: list[str]) -> Any:
+        order = sorted((prefix + "/", number % len(CLASSES)) for number, prefix in enumerate(entries))
+        return [prefix for prefix, _ in order], array("H", (number for _, number in order))
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        prefixes, classes = table
+
+        def find(path: str) -> int | None:
+            path += "/"
+            place = bisect_right(prefixes, path)
+            while place:
+                before = prefixes[place - 1]
+                if path.startswith(before):
+                    return classes[place - 1]  # type: ignore[no-any-return]
+                path = path[: path.rfind("/", 0, _common(before, path)) + 1]  # no longer prefix can fit
+                if not path:
+                    break
+                place = bisect_right(prefixes, path, 0, place)
+            return None
+
+        return find
+
+    def change(self, table: Any, entry: str) -> Any:
+        prefixes, classes = list(table[0]), table[1][:]
+        insort(prefixes, entry + "/")
+        classes.insert(bisect_left(prefixes, entry + "/"), 1)
+        return prefixes, classes
+
+
+class IndexedRoutes:
+    """The index of tenants' names, a path cut shorter until it is there."""
+
+    name = "pages with a hash index"
+
+    def build(self, entries: list[str]) -> Any:
+        editor = NameTableEditor(NameTable.empty())
+        classes = array("H")
+        for number, prefix in enumerate(entries):
+            editor.add(prefix)
+            classes.append(number % len(CLASSES))
+        return editor.build(), classes
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        prefixes, classes = table
+
+        def find(path: str) -> int | None:
+            while path:
+                number = prefixes.find(path)
+                if number is not None:
+                    return classes[number]  # type: ignore[no-any-return]
+                path = path[: path.rfind("/")]
+            return None
+
+        return find
+
+    def change(self, table: Any, entry: str) -> Any:
+        editor, classes = NameTableEditor(table[0]), table[1][:]
+        editor.add(entry)
+        classes.append(1)
+        return editor.build(), classes
+
+
+class ShardedRoutes:
+    """RouteTable: dicts by some bits of the hash, of which a change copies one."""
+
+    name = "64 dicts (taken)"
+
+    def build(self, entries: list[str]) -> Any:
+        return route_table(entries)
+
+    def find(self, table: Any) -> Callable[[str], int | None]:
+        return table.find  # type: ignore[no-any-return]
+
+    def change(self, table: Any, entry: str) -> Any:
+        editor = RouteTableEditor(table)
+        editor.put(entry, 1)
+        return editor.build()
+
+
+TENANT_WAYS: tuple[Way, ...] = (DictOfTenants(), SortedTenants(), IndexedTenants())
+ROUTE_WAYS: tuple[Way, ...] = (
+    DictOfRoutes(),
+    TreeOfRoutes(),
+    SortedRoutes(),
+    IndexedRoutes(),
+    ShardedRoutes(),
+)
+
+
+def _common(one: str, other: str) -> int:
+    """Characters that both begin with."""
+    length = 0
+    for left, right in zip(one, other, strict=False):
+        if left != right:
+            break
+        length += 1
+    return length
+
+
+def best_seconds(work: Callable[[], object]) -> float:
+    """Processor seconds of this thread, the best of REPEATS."""
+    spent = []
+    for _ in range(REPEATS):
+        began = time.thread_time()
+        work()
+        spent.append(time.thread_time() - began)
+    return min(spent)
+
+
+def per_look_up(find: Callable[[str], int | None], asked: list[str]) -> float:
+    """Microseconds. The texts asked for are new ones, as a request's are: their hashes are not known yet."""
+
+    def run(fresh: list[str]) -> None:
+        for text in fresh:
+            find(text)
+
+    spent = []
+    for _ in range(REPEATS):
+        fresh = [text.encode().decode() for text in asked]
+        began = time.thread_time()
+        run(fresh)
+        spent.append(time.thread_time() - began)
+    return 1e6 * min(spent) / len(asked)
+
+
+def measured(what: str, way: Way, entries: list[str], present: list[str], missing: list[str]) -> Row:
+    began = time.thread_time()
+    table = way.build([entry.encode().decode() for entry in entries])
+    built = time.thread_time() - began
+    find = way.find(table)
+    changes = [f"{entries[0]}-{number}" for number in range(CHANGES)]
+    change = best_seconds(lambda: [way.change(table, each) for each in changes]) / CHANGES
+    return Row(
+        what=what,
+        way=way.name,
+        entries=len(entries),
+        bytes_per_entry=round(size_of(table) / len(entries), 1),
+        look_up=round(per_look_up(find, present), 2),
+        miss=round(per_look_up(find, missing), 2),
+        change=round(1e6 * change, 1),
+        build=round(built, 3),
+    )
+
+
+def tenant_rows(size: int) -> list[Row]:
+    rng = random.Random(2)
+    names = tenant_names(size)
+    present = rng.choices(names, k=LOOK_UPS)
+    missing = [f"nobody-{number:07d}" for number in range(LOOK_UPS)]
+    return [measured("tenants", way, names, present, missing) for way in TENANT_WAYS]
+
+
+def route_rows(size: int) -> list[Row]:
+    rng = random.Random(2)
+    prefixes = route_prefixes(size)
+    present = [f"{prefix}/{rng.randrange(10_000)}" for prefix in rng.choices(prefixes, k=LOOK_UPS)]
+    missing = [f"/nothing-{number}/v1/is/here" for number in range(LOOK_UPS)]
+    return [measured("routes", way, prefixes, present, missing) for way in ROUTE_WAYS]
+
+
+def as_markdown(rows: list[Row]) -> str:
+    lines = [
+        "| what | way | entries | bytes an entry | look-up, us | miss, us | change, us | build, s |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in rows:
+        lines.append(
+            f"| {row.what} | {row.way} | {row.entries:,} | {row.bytes_per_entry:g} | {row.look_up:g} "
+            f"| {row.miss:g} | {row.change:,g} | {row.build:g} |"
+        )
+    return "\n".join(lines)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m limeridge.configuration.compare")
+    parser.add_argument("--sizes", type=int, nargs="+", default=SIZES, help="entries of tables of tenants")
+    parser.add_argument("--route-sizes", type=int, nargs="+", default=ROUTE_SIZES)
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    rows = [row for size in options.sizes for row in tenant_rows(size)]
+    rows += [row for size in options.route_sizes for row in route_rows(size)]
+    print(json.dumps([asdict(row) for row in rows]) if options.json else as_markdown(rows))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/limeridge/configuration/measure.py
@@ -0,0 +1,188 @@
+"""Costs of revisions, each by one function: bytes on the wire, time to load and to apply, bytes of tables.
+
+    python -m limeridge.configuration.measure        # JSON
+
+Times are seconds of the processor, of this thread. `longest_step` is the longest piece of work between two
+turns of the reactor.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import asdict, dataclass
+
+from limeridge.configuration.chain import Chain, Entry, FencingToken, first_entry
+from limeridge.configuration.changes import Change, Draft, PutRoute, PutTenant
+from limeridge.configuration.encoding import decode, encode, encode_entries
+from limeridge.configuration.samples import CLASSES, ROUTES, TENANTS, sample_tables, size_of
+from limeridge.configuration.snapshot import SnapshotHeader, SnapshotLoader, SnapshotPart, snapshot_of
+from limeridge.configuration.subscriber import Apply, Deltas, Subscriber
+from limeridge.configuration.tables import Tables
+
+BATCH = 200
+TOKEN = FencingToken(1_700_000_000_000_000, "control-3.eu-west", 0x5EED)
+
+
+@dataclass(slots=True, frozen=True)
+class ChangeCost:
+    """Of `changes` revisions of one change each: `encoded` bytes in all, the seconds of one message."""
+
+    changes: int
+    encoded: int
+    accept: float  # at the publisher, all of them
+    encode: float
+    decode: float
+    apply: float  # at the subscriber, all of them
+
+
+@dataclass(slots=True, frozen=True)
+class SnapshotCost:
+    tenants: int
+    routes: int
+    parts: int
+    encoded: int  # bytes of all messages
+    largest: int  # bytes of one
+    make: float  # to sort and cut
+    encode: float
+    load: float  # decoding among it
+    longest_step: float
+
+
+@dataclass(slots=True, frozen=True)
+class TableCost:
+    tenants: int
+    routes: int
+    tenant_bytes: int
+    route_bytes: int
+
+
+def table_cost(tables: Tables) -> TableCost:
+    tenants, routes = len(tables.tenants), len(tables.routes)
+    return TableCost(tenants, routes, size_of(tables.tenants), size_of(tables.routes))
+
+
+def change_cost(tables: Tables, changes: int) -> ChangeCost:
+    """Changes alone, as they are where one comes in 6 s (`changes` 1), or in one message."""
+    chain = _chain_of(tables)
+    start = chain.head
+    began = time.thread_time()
+    for number in range(changes):
+        chain.accept(_draft(number), TOKEN, 1_700_000_000_000_000 + number)
+    accepted = time.thread_time()
+    entries = _entries(chain, start.number)
+    frames = list(encode_entries(entries))
+    encoded = time.thread_time()
+    messages = [decode(frame) for frame in frames]
+    decoded = time.thread_time()
+    subscriber = Subscriber(tables, start, random.Random(1))
+    for message in messages:
+        if not isinstance(message, Deltas) or not isinstance(subscriber.hears_deltas(message, 1), Apply):
+            raise RuntimeError("the measured deltas were not applied")
+    applied = time.thread_time()
+    return ChangeCost(
+        changes,
+        sum(map(len, frames)),
+        accept=accepted - began,
+        encode=encoded - accepted,
+        decode=decoded - encoded,
+        apply=applied - decoded,
+    )
+
+
+def snapshot_cost(tables: Tables) -> SnapshotCost:
+    """A snapshot made, encoded, decoded and loaded by an instance that has no table."""
+    chain = _chain_of(tables)
+    began = time.thread_time()
+    snapshot = snapshot_of(chain.last, tables)
+    made = time.thread_time()
+    frames = [encode(snapshot.header), *map(encode, snapshot.parts)]
+    encoded = time.thread_time()
+    steps = list(_load_steps(frames))
+    return SnapshotCost(
+        len(tables.tenants),
+        len(tables.routes),
+        parts=len(snapshot.parts),
+        encoded=sum(map(len, frames)),
+        largest=max(map(len, frames)),
+        make=made - began,
+        encode=encoded - made,
+        load=sum(steps),
+        longest_step=max(steps),
+    )
+
+
+def _load_steps(frames: Sequence[bytes]) -> Iterator[float]:
+    """Seconds of each piece of work of an instance that loads a snapshot."""
+    began = time.thread_time()
+    header = decode(frames[0])
+    if not isinstance(header, SnapshotHeader):
+        raise RuntimeError("the measured snapshot has no header")
+    loader = SnapshotLoader(header, None, now=0)
+    yield time.thread_time() - began
+    for frame in frames[1:]:
+        began = time.thread_time()
+        part = decode(frame)
+        if not isinstance(part, SnapshotPart):
+            raise RuntimeError("the measured snapshot has something else in it")
+        yield time.thread_time() - began
+        yield from _timed(loader.take(part))
+    yield from _timed(loader.finish())
+    if loader.tables.digest != header.entry.digest:
+        raise RuntimeError("the measured snapshot was not loaded")
+
+
+def _timed(steps: Iterator[None]) -> Iterator[float]:
+    began = time.thread_time()
+    for _ in steps:
+        yield time.thread_time() - began
+        began = time.thread_time()
+    yield time.thread_time() - began
+
+
+def _chain_of(tables: Tables) -> Chain:
+    chain = Chain(first_entry(tables, 0), tables)
+    chain.take_over(TOKEN, 1_700_000_000_000_000)
+    return chain
+
+
+def _entries(chain: Chain, after: int) -> list[Entry]:
+    return [chain.entry(number) for number in range(after + 1, chain.head.number + 1)]
+
+
+def _draft(number: int) -> Draft:
+    """One change, as an author would hand it in: a quota mostly, now and then a route."""
+    rng = random.Random(number)
+    change: Change = PutTenant(f"customer-{rng.randrange(300_000):07d}", float(rng.randrange(1_000)))
+    if number % 10 == 9:
+        change = PutRoute(f"/service-{rng.randrange(2_000)}/v2/orders-{number}", rng.choice(CLASSES))
+    return Draft(
+        f"{rng.getrandbits(128):032x}",
+        f"author-{rng.randrange(40)}",
+        f"ticket {rng.randrange(99_999)}",
+        (change,),
+    )
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m limeridge.configuration.measure")
+    parser.add_argument("--tenants", type=int, default=TENANTS)
+    parser.add_argument("--routes", type=int, default=ROUTES)
+    options = parser.parse_args()
+    tables = sample_tables(options.tenants, options.routes)
+    result = {
+        "tables": asdict(table_cost(tables)),
+        "change_alone": asdict(change_cost(tables, 1)),
+        "changes_in_a_batch": asdict(change_cost(tables, BATCH)),
+        "snapshot": asdict(snapshot_cost(tables)),
+    }
+    print(json.dumps(result, indent=2))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/limeridge/configuration/routes.py
+++ b/limeridge/configuration/routes.py
@@ -6,21 +6,16 @@
 
 from __future__ import annotations
 
-from array import array
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from limeridge.configuration.columns import PAGE_BITS, PAGE_MASK, PAGE_SIZE, ColumnEditor
-from limeridge.configuration.names import IndexFull, NameTable, NameTableEditor, NumberSet
-
 PREFIX_MOST = 1_024  # characters
 ELEMENTS_MOST = 32
 CLASSES_MOST = 1_000
 ROOT = "/"  # fits every path
-ROUTES_PER_STEP = 100
-
-NO_CLASS = 65_535
-NO_CLASS_PAGE = array("H", [NO_CLASS]) * PAGE_SIZE
+ROUTES_MOST = 1_000_000
+SHARDS = 64
+SHARD_MASK = SHARDS - 1
 
 
 class RouteFault(Exception):
@@ -43,65 +38,59 @@
 
 
 class RouteTable:
-    """The routes of one revision."""
+    """The routes of one revision: dicts from prefix to class number, by some bits of the prefix' hash.
+
+    A path is cut shorter by an element until it is there, from the depth of the deepest prefix on.
+    """
 
-    __slots__ = ("_classes", "_depths", "_prefixes")
+    __slots__ = ("_count", "_depths", "_shards")
 
-    def __init__(self, prefixes: NameTable, classes: tuple[array[int], ...], depths: tuple[int, ...]) -> None:
-        self._prefixes = prefixes
-        self._classes = classes
+    def __init__(self, shards: tuple[dict[str, int], ...], count: int, depths: tuple[int, ...]) -> None:
+        self._shards = shards
+        self._count = count
         self._depths = depths  # by number of elements: how many prefixes have it; the last is not 0
 
     @staticmethod
     def empty() -> RouteTable:
-        return RouteTable(NameTable.empty(), (), ())
+        return RouteTable(({},) * SHARDS, 0, ())
 
     def __len__(self) -> int:
-        return len(self._prefixes)
+        return self._count
 
     def find(self, path: str) -> int | None:
         """The number of the class that the longest fitting prefix leads to, None where none fits."""
-        number = self._number(path)
-        return None if number is None else self._class_number(number)
-
-    def route(self, path: str) -> Route | None:
-        """The route that wins for a path."""
-        number = self._number(path)
-        return None if number is None else self._route(number)
+        deepest = len(self._depths) - 1
+        if deepest < 0 or not path.startswith(ROOT):
+            return None
+        elements = path.split("/", deepest + 1)  # one empty, as many as the deepest has, what is behind them
+        if len(elements) > deepest + 1:
+            path = path[: -len(elements[-1]) - 1]
+        shards = self._shards
+        while path:
+            class_number = shards[hash(path) & SHARD_MASK].get(path)
+            if class_number is not None:
+                return class_number
+            path = path[: path.rfind("/")]
+        return self.get(ROOT)
 
     def get(self, prefix: str) -> int | None:
         """The class of just this prefix, None where it is not there."""
-        number = self._prefixes.find(prefix)
-        return None if number is None else self._class_number(number)
+        return self._shards[hash(prefix) & SHARD_MASK].get(prefix)
 
     def covering(self, prefix: str) -> Route | None:
         """The route that would win for the prefix if that were not there."""
-        return None if prefix == ROOT else self.route(prefix[: prefix.rfind("/")] or ROOT)
+        while prefix != ROOT:
+            prefix = prefix[: prefix.rfind("/")] or ROOT
+            class_number = self.get(prefix)
+            if class_number is not None:
+                return Route(prefix, class_number)
+        return None
 
     def routes(self) -> Iterator[Route]:
-        """All routes, in the order of their numbers."""
-        for number, prefix in self._prefixes.items():
-            yield Route(prefix, self._class_number(number))
-
-    def _route(self, number: int) -> Route:
-        return Route(self._prefixes.name(number), self._class_number(number))
-
-    def _class_number(self, number: int) -> int:
-        return self._classes[number >> PAGE_BITS][number & PAGE_MASK]
-
-    def _number(self, path: str) -> int | None:
-        deepest = len(self._depths) - 1
-        if deepest < 0 or not path.startswith(ROOT):
-            return None
-        elements = path.split("/", deepest + 1)  # one empty, the deepest prefix's, what is behind them
-        if len(elements) > deepest + 1:
-            path = path[: -len(elements[-1]) - 1]
-        while path:
-            number = self._prefixes.find(path)
-            if number is not None:
-                return number
-            path = path[: path.rfind("/")]
-        return self._prefixes.find(ROOT)
+        """All routes, in no order that another process would have."""
+        for shard in self._shards:
+            for prefix, class_number in shard.items():
+                yield Route(prefix, class_number)
 
 
 class RouteTableEditor:
@@ -112,31 +101,29 @@
 
     def __init__(self, previous: RouteTable | None = None) -> None:
         table = previous if previous is not None else RouteTable.empty()
-        self._prefixes = NameTableEditor(table._prefixes)
-        self._classes = ColumnEditor(table._classes, NO_CLASS_PAGE)
+        self._shards = list(table._shards)
+        self._count = table._count
         self._depths = list(table._depths)
+        self._own: set[int] = set()  # shards that are not shared with an earlier table
 
-    def put(self, prefix: str, class_number: int, entry: int = 0) -> int:
-        """Add a route or lead it elsewhere; gives its number. Raises RouteFault, which names the entry."""
+    def put(self, prefix: str, class_number: int, entry: int = 0) -> None:
+        """Add a route or lead it elsewhere. Raises RouteFault, which names the entry."""
         check_route(prefix, class_number, entry)
-        number = self._prefixes.find(prefix)
-        if number is None:
-            number = self._new_number(prefix, entry)
-        self._classes.set(number, class_number)
-        return number
+        shard = self._own_shard(prefix)
+        if prefix not in shard:
+            self._count_in(prefix, entry)
+        shard[prefix] = class_number
 
     def get(self, prefix: str) -> int | None:
         """The class of just this prefix, None where it is not there."""
-        number = self._prefixes.find(prefix)
-        return None if number is None else self._classes.get(number)
+        return self._shards[hash(prefix) & SHARD_MASK].get(prefix)
 
     def remove(self, prefix: str) -> bool:
         """False where the route is not there."""
-        number = self._prefixes.find(prefix)
-        if number is None:
+        if self.get(prefix) is None:
             return False
-        self._prefixes.drop(number)
-        self._classes.set(number, NO_CLASS)
+        del self._own_shard(prefix)[prefix]
+        self._count -= 1
         self._depths[depth_of(prefix)] -= 1
         return True
 
@@ -144,62 +131,42 @@
         """The table; the editor is of no use after it."""
         while self._depths and self._depths[-1] == 0:
             self._depths.pop()
-        return RouteTable(self._prefixes.build(), self._classes.build(), tuple(self._depths))
-
-    def _new_number(self, prefix: str, entry: int) -> int:
-        try:
-            number = self._prefixes.add(prefix)
-        except IndexFull as full:
-            raise RouteFault(entry, f"{full} routes") from None
+        return RouteTable(tuple(self._shards), self._count, tuple(self._depths))
+
+    def _own_shard(self, prefix: str) -> dict[str, int]:
+        which = hash(prefix) & SHARD_MASK
+        if which not in self._own:
+            self._own.add(which)
+            self._shards[which] = self._shards[which].copy()
+        return self._shards[which]
+
+    def _count_in(self, prefix: str, entry: int) -> None:
+        if self._count == ROUTES_MOST:
+            raise RouteFault(entry, f"expected at most {ROUTES_MOST} routes")
         depth = depth_of(prefix)
         self._depths.extend([0] * (depth + 1 - len(self._depths)))
         self._depths[depth] += 1
-        return number
+        self._count += 1
 
 
 class RouteTableBuilder:
-    """The next table after `previous`, by its whole list: a route that is not added again is removed.
+    """A table by its whole list. Adding does all of the work, a few microseconds an entry."""
 
-    Adding does its share of the work at once, some ten microseconds an entry; what is left is done by
-    `build`, or in steps by `build_steps`, after which `table` is there.
-    """
-
-    def __init__(self, previous: RouteTable | None = None) -> None:
-        self._previous = previous if previous is not None else RouteTable.empty()
-        self._editor = RouteTableEditor(previous)
-        self._added = NumberSet()
+    def __init__(self) -> None:
+        self._editor = RouteTableEditor()
         self._adds = 0
-        self._table: RouteTable | None = None
-
-    @property
-    def table(self) -> RouteTable:
-        """What was built. Raises RuntimeError before the last step."""
-        if self._table is None:
-            raise RuntimeError("the table is not built yet")
-        return self._table
 
     def add(self, prefix: str, class_number: int) -> None:
         """One entry. Raises RouteFault, which names the entry."""
-        number = self._editor.put(prefix, class_number, self._adds)
-        if not self._added.add(number):
+        check_route(prefix, class_number, self._adds)
+        if self._editor.get(prefix) is not None:
             raise ShadowedRoute(self._adds, f"the prefix {prefix!r} stands twice")
+        self._editor.put(prefix, class_number, self._adds)
         self._adds += 1
 
     def build(self) -> RouteTable:
-        """All steps at once."""
-        for _ in self.build_steps():
-            pass
-        return self.table
-
-    def build_steps(self, routes_per_step: int = ROUTES_PER_STEP) -> Iterator[None]:
-        """Remove what is not there any more, a step at a time."""
-        before = self._previous._prefixes
-        for first in range(0, before.used, routes_per_step):
-            for number in range(first, min(before.used, first + routes_per_step)):
-                if number not in self._added and (prefix := before.name(number)):
-                    self._editor.remove(prefix)
-            yield
-        self._table = self._editor.build()
+        """The table; the builder is of no use after it."""
+        return self._editor.build()
 
 
 def depth_of(prefix: str) -> int:
--- a/limeridge/configuration/snapshot.py
+++ b/limeridge/configuration/snapshot.py
@@ -111,7 +111,7 @@
         self._tenants = TenantTableBuilder(
             previous.tenants if previous else None, now=now, retired_until=retired_until
         )
-        self._routes = RouteTableBuilder(previous.routes if previous else None)
+        self._routes = RouteTableBuilder()
         self._digest = limits_digest(header.limits)
         self._next = 0
         self._tables: Tables | None = None
@@ -149,8 +149,7 @@
         if not self.complete:
             raise SnapshotFault(f"expected part {self._next} of revision {self.header.head.number}")
         yield from self._tenants.build_steps()
-        yield from self._routes.build_steps()
-        tenants, routes = self._tenants.table, self._routes.table
+        tenants, routes = self._tenants.table, self._routes.build()
         counts = len(tenants), len(routes)
         if counts != (self.header.tenants, self.header.routes) or self._digest != self.header.entry.digest:
             raise SnapshotFault(f"revision {self.header.head.number}: the digest is not that of the tables")
