--- a/limeridge/cli/sim.py
+++ b/limeridge/cli/sim.py
@@ -25,7 +25,7 @@
 from limeridge.sim import trace as traces
 from limeridge.sim.explore import Coverage, explore, run_plan, shrink
 from limeridge.sim.oracles import RULES
-from limeridge.sim.plan import Plan, draw, from_json, to_json
+from limeridge.sim.plan import Plan, Ranges, draw, from_json, to_json
 from limeridge.sim.scenario import named, names
 from limeridge.sim.world import Outcome
 
@@ -150,67 +150,73 @@
             coverage.add(outcome)
             progress.advance(task)
             if not console.is_terminal and coverage.runs % 1_000 == 0:
-                click.echo(
-                    f"{coverage.runs} of {seeds} seeds, {len(failed)} failed, {coverage.seconds():.0f} s",
-                    err=True,
-                )
-            if outcome.rule:
-                failed.append(outcome)
-                found.mkdir(parents=True, exist_ok=True)
-                path = found / f"{ranges.name}-{outcome.seed}.json"
-                path.write_bytes(to_json(draw(ranges, outcome.seed)))
-                if events:
-                    events.info(
-                        "failed",
-                        code=outcome.rule,
-                        seed=outcome.seed,
-                        scenario=ranges.name,
-                        txn=outcome.ref,
-                        at_us=outcome.at,
-                        instance=outcome.who,
-                        digest=outcome.digest,
-                        plan=str(path),
-                    )
-                if not as_json:
-                    progress.console.print(
-                        f"seed {outcome.seed}: {outcome.rule}: {outcome.what[:300]}\n"
-                        f"  again: {by_hand(outcome, str(outcome.seed))}",
-                        markup=False,
-                        highlight=False,
-                    )
-                if stop_after and len(failed) >= stop_after:
-                    break
+                told = f"{coverage.runs} of {seeds} seeds, {len(failed)} failed, {coverage.seconds():.0f} s"
+                click.echo(told, err=True)
+            if not outcome.rule:
+                continue
+            failed.append(outcome)
+            keep(outcome, ranges, found, events)
+            if not as_json:
+                progress.console.print(failure(outcome), markup=False, highlight=False)
+            if stop_after and len(failed) >= stop_after:
+                break
     if events:
         events.info("explored", seeds=coverage.runs, failed=len(failed), seconds=round(coverage.seconds(), 1))
     if as_json:
-        click.echo(
-            orjson.dumps(
-                {
-                    "scenario": ranges.name,
-                    "first": first,
-                    "seeds": coverage.runs,
-                    "jobs": jobs,
-                    "cores": os.cpu_count(),
-                    "seconds": round(coverage.seconds(), 1),
-                    "steps": coverage.steps,
-                    "txns": coverage.txns / coverage.runs,
-                    "instances": coverage.instances / coverage.runs,
-                    "least_instances": coverage.least_instances,
-                    "faults": coverage.faults,
-                    "rules": coverage.rules(),
-                    "states": coverage.states,
-                    "pairs": {f"{a}+{b}": n for (a, b), n in coverage.all_pairs().items()},
-                    "failed": [
-                        {"seed": o.seed, "rule": o.rule, "what": o.what, "digest": o.digest} for o in failed
-                    ],
-                }
-            )
-        )
+        click.echo(orjson.dumps(explored(coverage, failed, ranges, first, jobs)))
     else:
         cover(coverage, jobs, ranges.kinds == named("any").kinds)
     ended(bool(failed))
 
 
+def keep(outcome: Outcome, ranges: Ranges, found: Path, events: Any) -> None:
+    """Writes a failing seed's plan into the folder `found`, and an event where a log is kept."""
+    found.mkdir(parents=True, exist_ok=True)
+    path = found / f"{ranges.name}-{outcome.seed}.json"
+    path.write_bytes(to_json(draw(ranges, outcome.seed)))
+    if events:
+        events.info(
+            "failed",
+            code=outcome.rule,
+            seed=outcome.seed,
+            scenario=ranges.name,
+            txn=outcome.ref,
+            at_us=outcome.at,
+            instance=outcome.who,
+            digest=outcome.digest,
+            plan=str(path),
+        )
+
+
+def failure(outcome: Outcome) -> str:
+    """What broke, and the command that plays it again."""
+    again = by_hand(outcome, str(outcome.seed))
+    return f"seed {outcome.seed}: {outcome.rule}: {outcome.what[:300]}\n  again: {again}"
+
+
+def explored(
+    coverage: Coverage, failed: list[Outcome], ranges: Ranges, first: int, jobs: int
+) -> dict[str, Any]:
+    """The result of an exploration, as JSON has it."""
+    return {
+        "scenario": ranges.name,
+        "first": first,
+        "seeds": coverage.runs,
+        "jobs": jobs,
+        "cores": os.cpu_count(),
+        "seconds": round(coverage.seconds(), 1),
+        "steps": coverage.steps,
+        "txns": coverage.txns / coverage.runs,
+        "instances": coverage.instances / coverage.runs,
+        "least_instances": coverage.least_instances,
+        "faults": coverage.faults,
+        "rules": coverage.rules(),
+        "states": coverage.states,
+        "pairs": {f"{a}+{b}": n for (a, b), n in coverage.all_pairs().items()},
+        "failed": [{"seed": o.seed, "rule": o.rule, "what": o.what, "digest": o.digest} for o in failed],
+    }
+
+
 def cover(coverage: Coverage, jobs: int, all_kinds: bool) -> None:
     console = Console()
     runs = max(1, coverage.runs)
