Test that two lives of an instance stay within one share of calls: red, listed

Cause: Brain._call_room presumes that the life before used its share evenly over the window; it may all have come last, and then leaves the window last.

--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -21,7 +21,7 @@
 from limeridge.sim.explore import Coverage, explore, run_plan, run_seed, shrink
 from limeridge.sim.links import Links, Weather
 from limeridge.sim.oracles import RULES, Broken, Oracles
-from limeridge.sim.plan import Kind, Plan, Product, Ranges, draw, from_json, to_json
+from limeridge.sim.plan import Fault, Kind, Plan, Product, Ranges, draw, from_json, to_json
 from limeridge.sim.reactor import Closing, Network, Reactor
 from limeridge.sim.scenario import named, names
 from limeridge.sim.timeline import BEGIN, SECOND, Life, Ties, Timeline
@@ -309,6 +309,29 @@
     assert not broken, "\n".join(broken)
 
 
+def test_the_calls_of_two_lives_stay_within_one_share() -> None:
+    """A share used in full up to the kill, and a successor at once: whatever the life before has used of the
+    window, it may have used last."""
+    ranges = replace(
+        named("restart-small-share"),
+        instances=(1, 1),
+        txns=(400, 600),
+        op_ms=(20, 60),
+        calls_out=(0.4, 0.95),
+        expiry_ms=(500, 800),
+        faults=(0, 0),
+        scripted=(Fault(Kind.KILL, at=SECOND, lasts=0, amount=0.01),),
+        quanta=(1,),
+        cold=0.0,
+        referenced=0.0,
+        once_only=0.0,
+    )
+    outcomes = [run_plan(draw(ranges, seed)) for seed in (0, 4, 5, 7)]
+    assert all(outcome.judged["call-limit-lives"] for outcome in outcomes)
+    broken = [f"{outcome.seed}: {outcome.rule}: {outcome.what}" for outcome in outcomes if outcome.rule]
+    assert not broken, "\n".join(broken)
+
+
 def test_fixed_seeds_hold_and_meet_what_they_are_for() -> None:
     coverage = Coverage()
     for outcome in explore("any", range(FIXED), JOBS):
