Hold the terms of a class apart from what was learnt, so that settings can change live

The brain read its settings once: a class's limits stood in the same object as its ladder and histograms, and the quota of a customer in the map of settings. Now each request keeps a reference to the immutable terms of its class under which it arrived (limits of time, worth, skip worth, window); Brain.revise takes another revision's settings with the same classes by number, and ladders, histograms (told again as parts of the new SLA time), call bounds and buckets stay. Quotas are asked for by number from what the host hands in; without one they are read in the settings, as before.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -2,8 +2,9 @@
 
 A host makes one Brain for each instance from a plain map of settings (docs/design.md lists the names), a
 seed and the clock, and never shares one.  Inputs (`arrived`, `ended`, `needs_call`, `call_ended`,
-`caller_gone`, `leave`, `woke`) only update what is known.  After each round of inputs the host pulls
-`decide()` until it gives None and carries the decisions out in that order.  Times are whole microseconds.
+`caller_gone`, `leave`, `woke`, `revise`) only update what is known.  After each round of inputs the host
+pulls `decide()` until it gives None and carries the decisions out in that order.  Times are whole
+microseconds.
 
 The ordinary path is the ladder and the hold rule of docs/design.md; the rest keeps the four rules.
 """
@@ -13,11 +14,11 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 from limeridge.histogram import Histogram
-from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
+from limeridge.interface import ClassTerms, Decision, Outcome, Stage, Txn, Verb
 from limeridge.records import Books, Buckets, Callers, Calls
 
 WINDOW = 20  # runs whose worst is an approach's cost
@@ -61,6 +62,9 @@
 HEEDED = 1_000_000  # how long a caller keeps to what it was told, where the settings do not say
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
 INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
+Quotas = Callable[
+    [int], float | None
+]  # a customer's, in txns a second of the whole fleet; none or 0: no bound
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
@@ -76,40 +80,63 @@
         return max(self.costs, default=0)
 
 
+def kind_of(settings: Mapping[str, Any], number: int) -> str:
+    """A kind that is not told gets the most careful reading: it must not run twice."""
+    return str(settings.get(f"products.{number}.kind", ONCE_ONLY))
+
+
+def terms_of(settings: Mapping[str, Any], number: int) -> ClassTerms:
+    """What these settings say of a class; what is absent gets its most careful reading."""
+
+    def term(name: str, default: Any) -> Any:
+        return settings.get(f"products.{number}.{name}", default)
+
+    def of_list(name: str, default: Any) -> Any:
+        values = settings.get(name) or ()
+        return values[number] if number < len(values) else default
+
+    sla_time: int = term("sla_time", 0) or term("expiry", 0) or 1_000_000
+    halting = settings.get("instance.preemption", "none") in ("discard", "freeze")
+    return ClassTerms(
+        sla_time=sla_time,
+        expiry=term("expiry", 0) or sla_time,
+        time_limit=int(TIME_LIMIT * sla_time),
+        target=int(TARGET * sla_time),
+        interval=int(INTERVAL * sla_time),
+        window=term("window", 0),
+        value=term("value", 1.0),
+        late_value=term("late_value", 0.0),
+        skip_value=of_list("instance.skip_values", 0.0),
+        calls=of_list("instance.product_calls", True),
+        halts=halting and kind_of(settings, number) == INQUIRY,
+    )
+
+
 class Product:
-    """What is known of one product: its terms, its ladder, its line in the hold."""
-
-    def __init__(self, settings: Mapping[str, Any], number: int) -> None:
-        def term(name: str, default: Any) -> Any:
-            return settings.get(f"products.{number}.{name}", default)
-
-        def of_list(name: str, default: Any) -> Any:
-            values = settings.get(name) or ()
-            return values[number] if number < len(values) else default
-
-        self.number = number
-        self.sla_time: int = term("sla_time", 0) or term("expiry", 0) or 1_000_000
-        self.expiry: int = term("expiry", 0) or self.sla_time
-        self.value: float = term("value", 1.0)
-        # A kind that is not told gets the most careful reading: it must not run twice.
-        self.kind: str = term("kind", ONCE_ONLY)
-        self.window: int = term("window", 0)
-        halting = settings.get("instance.preemption", "none") in ("discard", "freeze")
-        self.halts, self.late_value = halting and self.kind == INQUIRY, term("late_value", 0.0)
-        self.skip_value: float = of_list("instance.skip_values", 0.0)
-        self.calls: bool = of_list("instance.product_calls", True)
-        self.time_limit = int(TIME_LIMIT * self.sla_time)
+    """What is known of one product: its terms now, and apart from them what was learnt and its line in the
+    hold. What was learnt as a part of the SLA time is kept as a part of the one of now."""
+
+    def __init__(self, kind: str, terms: ClassTerms, number: int) -> None:
+        self.number, self.kind, self.terms = number, kind, terms
         self.ladder = [Approach()]
-        if self.skip_value > 0:
+        if terms.skip_value > 0:
             self.ladder.append(Approach())
         self.run_times, self.core_times, self.paces, self.answer_ages, self.call_times = (
             Histogram(EDGES, keep) for keep in (32, 32, 32, 32, 16)
         )
         self.called_at, self.quick, self.answered_from = 0, float("inf"), -1
         self.lines: tuple[deque[Txn], ...] = (deque(), deque(), deque())  # first, later tries, over share
-        self.target, self.interval = int(TARGET * self.sla_time), int(INTERVAL * self.sla_time)
         self.asked, self.settled = 0.0, 0.0
 
+    def revise(self, terms: ClassTerms) -> None:
+        """Other terms from now on; what was learnt stays."""
+        if terms.sla_time != self.terms.sla_time:
+            for learnt in (self.run_times, self.core_times, self.answer_ages, self.call_times):
+                learnt.rescale(self.terms.sla_time / terms.sla_time)
+        if terms.skip_value > 0 and len(self.ladder) == 1:
+            self.ladder.append(Approach())
+        self.terms = terms
+
     def choose(self, strained: bool, now: int) -> int:
         # Leaving a call out saves its time alone: where fresh calls are quick, slow cores are no reason to.
         if not strained or now - self.called_at > CALL_STALE or self.call_times.quantile(0.75) < CALL_MATTERS:
@@ -120,7 +147,7 @@
         self.lines[2 if txn.over_share else txn.resent].append(txn)
 
     def work(self) -> float:
-        return max(0.02, self.core_times.quantile(0.5)) * self.sla_time / 1e6
+        return max(0.02, self.core_times.quantile(0.5)) * self.terms.sla_time / 1e6
 
     def served(self) -> float:
         return (self.settled + 1) / (self.asked + 1)
@@ -129,9 +156,9 @@
         """The paper's switch, after each run."""
         approach = self.ladder[txn.approach]
         approach.costs.append(elapsed)
-        if approach.cost > self.time_limit:
+        if approach.cost > self.terms.time_limit:
             approach.active = approach.active and txn.approach == len(self.ladder) - 1
-        elif approach.cost < REACTIVATION * self.time_limit:
+        elif approach.cost < REACTIVATION * self.terms.time_limit:
             for heavier in [a for a in self.ladder[: txn.approach] if not a.active][-1:]:
                 heavier.active = True
                 heavier.costs.clear()
@@ -140,11 +167,17 @@
 class Brain:
     """One instance's decisions."""
 
-    def __init__(self, settings: Mapping[str, Any], seed: int, now: int) -> None:
+    def __init__(
+        self, settings: Mapping[str, Any], seed: int, now: int, quotas: Quotas | None = None
+    ) -> None:
         self.settings, self.now, self.born, self.started = settings, now, now, now
+        self.quotas = quotas or self._quota_in_settings
         self.cold: bool = settings.get("instance.cold", True)
         self.chance = random.Random(seed)
-        self.products = [Product(settings, i) for i in range(settings.get("products.count", 0))]
+        self.products = [
+            Product(kind_of(settings, i), terms_of(settings, i), i)
+            for i in range(settings.get("products.count", 0))
+        ]
         self.cores: int = settings.get("instance.cores", 1)
         self.cap, self.cap_binds = float(self.cores), False
         self.books = Books(settings.get("instance.run_factor", 1.0), settings.get("instance.kb_per_key", 0.0))
@@ -163,7 +196,7 @@
         self.speak_at, self.turned_away, self.read, self.unread, self.behind = now, 0, 0, 0.0, 0
         self.healthy, self.said, self.tries, self.later, self.unmet = False, -1.0, 0.0, 0.0, False
         self.call_most, self.call_floor = self._bounds(float(settings.get("instance.calls_out", 0.5)))
-        self.call_cap, self.calls_bound = self.call_floor, False
+        self.call_cap, self.calls_bound, self.calls_dealt = self.call_floor, False, False
         self.short, self.short_at = 0.0, now - CALL_STALE  # the loss of a call that lately found no room
         self.stream: Iterator[Decision] | None = None
 
@@ -178,9 +211,29 @@
     def share(self, now: int, calls: int) -> None:
         """The own share of calls is another from now on: so many in hand at a time, with nothing off the top,
         for whoever deals out whole calls has counted them."""
+        self.now, self.calls_dealt = now, True
+        self._bound_calls(float(calls), max(min(1.0, calls), CALL_FLOOR * calls))
+
+    def _bound_calls(self, most: float, floor: float) -> None:
+        self.call_most, self.call_floor = most, floor
+        self.call_cap = min(max(self.call_cap, floor), most)
+
+    def revise(self, now: int, settings: Mapping[str, Any], quotas: Quotas | None = None) -> None:
+        """Settings of another revision, with the same classes by number. What has arrived keeps the terms
+        that it arrived under, and what was learnt stays."""
+        terms = [terms_of(settings, product.number) for product in self.products]
+        old, self.settings = self.settings, settings
+        self.quotas = quotas or self._quota_in_settings
+        if settings == old:
+            return
         self.now = now
-        self.call_most, self.call_floor = float(calls), max(min(1.0, calls), CALL_FLOOR * calls)
-        self.call_cap = min(max(self.call_cap, self.call_floor), self.call_most)
+        for product, of_now in zip(self.products, terms, strict=True):
+            product.revise(of_now)
+        share, idle = settings.get("instance.calls_out", 0.5), settings.get("instance.idle", 0)
+        if share != old.get("instance.calls_out", 0.5) and not self.calls_dealt:
+            self._bound_calls(*self._bounds(float(share)))
+        if idle != old.get("instance.idle", 0):
+            self.idle_limit = idle
 
     def booted(self, now: int, cold: bool, born: int) -> None:
         """The machine came up at `born`, and says whether cold: its speed grows from then on. What was read
@@ -206,10 +259,10 @@
     ) -> Txn:
         self.now = now
         kind = self.products[product]
-        landed = now - age
+        terms, landed = kind.terms, now - age
         # Where the wait should come with the txn and does not, nothing is left of it.
         told = patience > 0 or self.settings.get("instance.passes_expiry")
-        due = now + patience if told else max(now, landed + kind.expiry)
+        due = now + patience if told else max(now, landed + terms.expiry)
         txn = Txn(
             ref,
             product,
@@ -219,23 +272,24 @@
             landed,
             now,
             due,
-            landed + kind.sla_time,
+            landed + terms.sla_time,
+            terms,
             resent,
             prior,
             repeat,
             effort,
         )
-        self._date_back(txn, kind, due - landed)
-        if kind.halts and not kind.late_value:  # against runs that go on for an answer worth nothing
+        self._date_back(txn, due - landed)
+        if terms.halts and not terms.late_value:  # against runs that go on for an answer worth nothing
             txn.due = min(txn.due, max(now, txn.sla_due))
-        txn.remembered_until = landed + kind.window
+        txn.remembered_until = landed + terms.window
         txn.over_share = self._over_share(txn)
         self.books.enter(txn)
         kind.asked, self.read = kind.asked + 1, self.read + 1
         self.absences.add(absence := self.callers.absence(caller, now))
         self.unmet = self.unmet or absence == float("inf")
         self.tries, self.later = self.tries * 0.99 + 1, self.later * 0.99 + resent
-        self.unread = age / kind.sla_time
+        self.unread = age / terms.sla_time
         self.behind = self.behind + 1 if self.unread > (TARGET if self.stuck else STUCK) else 0
         if kind.asked > 256:
             kind.asked, kind.settled = kind.asked / 2, kind.settled / 2
@@ -256,11 +310,11 @@
             elapsed = now - txn.started
             kind.report(txn, elapsed)
             if outcome in (Outcome.OK, Outcome.CANCELLED):  # what was cut short would have taken longer yet
-                kind.run_times.add(elapsed / kind.sla_time)
+                kind.run_times.add(elapsed / kind.terms.sla_time)
                 if txn.effort:
                     kind.paces.add(elapsed / txn.effort)
-                kind.core_times.add(self.books.core_time(txn, now) / kind.sla_time)
-                kind.answer_ages.add((now - txn.arrived) / kind.sla_time)
+                kind.core_times.add(self.books.core_time(txn, now) / kind.terms.sla_time)
+                kind.answer_ages.add((now - txn.arrived) / kind.terms.sla_time)
         if outcome == Outcome.OK:
             txn.settled = True
             kind.settled += not txn.answered and now <= txn.sla_due
@@ -284,11 +338,11 @@
         )
         kind.answered_from = max(kind.answered_from, (now - spent) * (outcome == Outcome.OK))
         if not lost:
-            kind.call_times.add(spent / kind.sla_time)
-        kind.quick = min(kind.quick, kind.call_times.quantile(0.5) * kind.sla_time)
+            kind.call_times.add(spent / kind.terms.sla_time)
+        kind.quick = min(kind.quick, kind.call_times.quantile(0.5) * kind.terms.sla_time)
         # It grows only while it binds: what is never used would let a crowd in before its slowness shows.
         # What is slow goes by the ledger as it was quickest: a call may take the hold target and be usual.
-        if not lost and (outcome != Outcome.OK or spent > max(kind.target, CALL_SLOW * kind.quick)):
+        if not lost and (outcome != Outcome.OK or spent > max(txn.terms.target, CALL_SLOW * kind.quick)):
             self.call_cap = max(self.call_floor, self.call_cap * 0.85)
         elif self.calls_bound and outcome == Outcome.OK:
             self.call_cap = min(self.call_most, self.call_cap + CALL_STEP * max(1.0, self.call_floor))
@@ -383,7 +437,7 @@
             yield Decision(Verb.FORGET, txn)
         if txn.stage in (Stage.HELD, Stage.JOINED):
             self._over(txn)
-        elif kind.halts and txn.stage == Stage.RUNNING:
+        elif txn.terms.halts and txn.stage == Stage.RUNNING:
             yield Decision(Verb.HALT, txn)  # answered first, so it is finished: core and memory are free
 
     def _join_repeats(self) -> Iterator[Decision]:
@@ -423,9 +477,8 @@
         gap = 1e6 * sum(k.work() * k.asked for k in self.products) / self.cores
         gap /= sum(k.asked for k in self.products) or 1.0
         for kind in self.products:
-            stop = now + kind.expiry if self.stop_at is None else self.stop_at - STOP_MARGIN
             hope = HOPE if self.books.on_cores() >= int(self.cap) else 0.5
-            usual, pace = kind.run_times.quantile(hope) * kind.sla_time, kind.paces.quantile(hope)
+            usual, pace = kind.run_times.quantile(hope) * kind.terms.sla_time, kind.paces.quantile(hope)
             for line in kind.lines:
                 while line:
                     txn = line[0]
@@ -434,10 +487,11 @@
                         continue
                     # Not worth running: it can't make its SLA time. A few still run, to see a slow spell end.
                     # Where its work is told, that judges it: light ones can still make it, heavy ones not.
-                    need = txn.effort * pace if txn.effort and pace else usual
+                    need, terms = txn.effort * pace if txn.effort and pace else usual, txn.terms
+                    stop = now + terms.expiry if self.stop_at is None else self.stop_at - STOP_MARGIN
                     late = now + need > min(txn.sla_due, txn.due, stop) and self.books.on_cores() >= probes
                     # The wait is counted from the reading: what waited unread was no choice of the hold.
-                    if late or now > txn.sla_due or now - txn.read > kind.target + max(kind.interval, gap):
+                    if late or now > txn.sla_due or now - txn.read > terms.target + max(terms.interval, gap):
                         line.popleft()
                         yield from self._turn_away(txn)
                     else:
@@ -461,9 +515,9 @@
                 txn.failed_as == Outcome.RESET
                 and txn.may_repeat_call
                 and txn.calls_made < 3
-                and txn.sla_due - self.now > kind.target
+                and txn.sla_due - self.now > txn.terms.target
             )
-            waited = self.now - txn.since > kind.target
+            waited = self.now - txn.since > txn.terms.target
             # A run that meets trouble below mid-way leaves the call out too, against piling up there.
             stuck = waited or (txn.failed_as is not None and not again)
             # Room is spared for a call that would lose more and lately waited: few txns are here.
@@ -473,7 +527,7 @@
                 self.calls_bound = True
                 if waited:  # not for one that failed: that tells of no lack of room
                     self.short, self.short_at = loss, self.now
-            if kind.skip_value > 0 and (
+            if txn.terms.skip_value > 0 and (
                 txn.left_out < txn.approach or stuck or spared or (txn.left_out and not time_out)
             ):
                 txn.left_out += 1
@@ -507,7 +561,7 @@
                 line.appendleft(txn)
                 return
             kind = self.products[txn.product]
-            txn.approach = kind.choose(strained, self.now)
+            txn.approach = kind.choose(strained, self.now) if txn.terms.skip_value > 0 else 0
             txn.ran, txn.started = True, self.now
             self.books.move(txn, Stage.RUNNING, self.now)
             yield Decision(Verb.RUN, txn)
@@ -572,7 +626,9 @@
 
     def strained(self) -> bool:
         """Deactivation binds only then; else the full run."""
-        late = any(line and self.now - line[0].read > k.target for k in self.products for line in k.lines)
+        late = any(
+            line and self.now - line[0].read > line[0].terms.target for k in self.products for line in k.lines
+        )
         return (
             self.busy >= FULL_CORES
             or late
@@ -604,8 +660,9 @@
         """Rule 4 below: the own share of calls, lingering ones included. 0 = no room, else a time-out."""
         time_out, kind = max(TICK, min(txn.sla_due, txn.due) - self.now), self.products[txn.product]
         if self.call_most >= 1:
-            lost = int(max(TARGET, CALL_LOST * kind.call_times.quantile(0.9)) * kind.sla_time)
-            if txn.calls_made < 2 and kind.kind == INQUIRY and lost + kind.target < time_out:
+            usual = CALL_LOST * kind.call_times.quantile(0.9) * kind.terms.sla_time
+            lost = int(max(TARGET * txn.terms.sla_time, usual))
+            if txn.calls_made < 2 and kind.kind == INQUIRY and lost + txn.terms.target < time_out:
                 time_out = lost  # against no answer ever: time is left for another
             return time_out if self.calls.in_hand(self.now) + 1 <= self.call_cap else 0
         # A share under one call: the mean over the window must still hold if every call runs to its time-out.
@@ -615,25 +672,28 @@
             spare -= int(room * max(0.0, 1 - (self.now - self.started) / self.calls.window))
         # Against calls cut off before a slow answer can come, which cost room and linger for nothing: what
         # was cut off counts as a call of that length, so the least time-out doubles until answers come.
-        least = max(TICK, int(CALL_SLACK * kind.call_times.quantile(0.9) * kind.sla_time))
+        least = max(TICK, int(CALL_SLACK * kind.call_times.quantile(0.9) * kind.terms.sla_time))
         fits = spare >= min(time_out, least, CALL_MOST * room)
         return min(time_out, max(min(spare, least), spare // 2)) if fits else 0  # half is left for the next
 
     def _over_share(self, txn: Txn) -> bool:
         """Traffic beyond a customer's share is worth little and is not marked: an own count of it, this
         instance's part of the quota, tells."""
-        quota = self.settings.get(f"customers.{txn.customer}.quota_per_s")
+        quota = self.quotas(txn.customer)
         if not quota or txn.resent:
             return False
         rate = quota / max(1, self.settings.get("group_size", 1))
         return not self.shares.take(txn.customer, rate, max(BURST, 2 * rate), self.now)
 
-    def _date_back(self, txn: Txn, kind: Product, patience: int) -> None:
+    def _quota_in_settings(self, customer: int) -> float | None:
+        return self.settings.get(f"customers.{customer}.quota_per_s")
+
+    def _date_back(self, txn: Txn, patience: int) -> None:
         """A later try's age is not told. A try mostly gets its caller's usual patience, found by majority
         vote; one that gets another gets all that its client has left, and that tells its age."""
-        usual = self.callers.usual(txn.caller, txn.product, patience, SAME_PATIENCE)
-        if abs(patience - usual) >= SAME_PATIENCE or usual > kind.expiry - SAME_PATIENCE:
-            txn.sla_due -= max(0, kind.expiry - patience)
+        usual, expiry = self.callers.usual(txn.caller, txn.product, patience, SAME_PATIENCE), txn.terms.expiry
+        if abs(patience - usual) >= SAME_PATIENCE or usual > expiry - SAME_PATIENCE:
+            txn.sla_due -= max(0, expiry - patience)
 
     def _ranked(self, running: bool = False) -> list[tuple[float, int, deque[Txn]]]:
         """What a core's time is worth to the site's goal if a line gets it, for lines that are not empty."""
@@ -642,18 +702,22 @@
         if not any(line for kind in self.products for line in kind.lines):
             return ranked
         works = [k.work() if goal("value_by") == "work" else 1.0 for k in self.products]
-        total = sum(k.value * k.asked * work for k, work in zip(self.products, works, strict=True)) or 1.0
+        total = (
+            sum(k.terms.value * k.asked * work for k, work in zip(self.products, works, strict=True)) or 1.0
+        )
         whole = goal("goal.whole", 1.0) + goal("goal.worst_window", 0.0)
         least = min(map(Product.served, self.products)) + 0.02
         # A later try may be past its SLA time already, which its patience need not show.
         factors = (1.0, LATER_TRY, goal("over_share_value", 1.0))
         for kind, work in zip(self.products, works, strict=True):
-            weight = whole * kind.value * work / total
-            if kind.served() <= least:
-                weight += goal("goal.worst_product", 0.0) / max(1.0, kind.asked)
+            behind = goal("goal.worst_product", 0.0) / max(1.0, kind.asked) if kind.served() <= least else 0.0
             if not (running and self._crowded_below(kind)):
                 ranked += [
-                    (weight / kind.work() * factor, -3 * kind.number - i, line)
+                    (
+                        (whole * line[0].terms.value * work / total + behind) / kind.work() * factor,
+                        -3 * kind.number - i,
+                        line,
+                    )
                     for i, (line, factor) in enumerate(zip(kind.lines, factors, strict=True))
                     if line
                 ]
@@ -662,9 +726,11 @@
     def _crowded_below(self, kind: Product) -> bool:
         """The bound of call waiters, for those that can't go on without: what the last calls let through."""
         waiting = self.books.in_runs() - self.books.on_cores()
-        if not kind.calls or kind.skip_value > 0 or waiting < max(2, self.cores // 2):
+        if not kind.terms.calls or kind.terms.skip_value > 0 or waiting < max(2, self.cores // 2):
             return False
-        return waiting >= CALL_WAITERS * kind.sla_time * self.calls.through(self.now) / self.calls.window
+        return (
+            waiting >= CALL_WAITERS * kind.terms.sla_time * self.calls.through(self.now) / self.calls.window
+        )
 
     def _full_elsewhere(self, txn: Txn) -> bool:
         """Later tries seen here tell that others decline too. Without them, idle servers may stand by."""
@@ -672,8 +738,7 @@
         return shown and (txn.resent or self.welcome < TURN_ALL)
 
     def _loss(self, txn: Txn) -> float:
-        kind = self.products[txn.product]
-        return 0.0 if txn.left_out else kind.value * (1 - kind.skip_value)
+        return 0.0 if txn.left_out else txn.terms.value * (1 - txn.terms.skip_value)
 
     def _prior_ran(self, txn: Txn) -> bool:
         while (p := txn.prior) and (p.heir or (p.repeat and not p.ran and p.stage == Stage.OVER)):
@@ -685,7 +750,7 @@
     def _park(self, txn: Txn) -> None:
         self.books.move(txn, Stage.PARKED, self.now)
         kind = self.products[txn.product]
-        if kind.skip_value > 0 and txn.calls_made + txn.left_out >= len(kind.ladder) - 1 < MAX_RUNGS:
+        if txn.terms.skip_value > 0 and txn.calls_made + txn.left_out >= len(kind.ladder) - 1 < MAX_RUNGS:
             kind.ladder.append(Approach())
         self.parked.append(txn)
 
--- a/limeridge/histogram.py
+++ b/limeridge/histogram.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from itertools import pairwise
 
 
 class Histogram:
@@ -35,3 +36,22 @@
                 return below + (edge - below) * (q * self.total - seen) / count
             seen, below = seen + count, edge
         return 0.0
+
+    def rescale(self, factor: float) -> None:
+        """All values are `factor` times what they were; each bin's are taken to spread evenly over it."""
+        bounds = (0.0, *self.edges, 2 * self.edges[-1])
+        counts = [0.0] * len(self.counts)
+        for count, (low, high) in zip(self.counts, pairwise(bounds), strict=True):
+            if count:
+                for place, share in self._shares(low * factor, high * factor):
+                    counts[place] += count * share
+        self.counts = counts
+        self.known.clear()
+
+    def _shares(self, low: float, high: float) -> Iterator[tuple[int, float]]:
+        """The bins that a span reaches into, with the part of it in each; the last bin has no end."""
+        bounds = (0.0, *self.edges, float("inf"))
+        for place, (begin, end) in enumerate(pairwise(bounds)):
+            inside = min(high, end) - max(low, begin)
+            if inside > 0:
+                yield place, inside / (high - low)
--- a/limeridge/interface.py
+++ b/limeridge/interface.py
@@ -53,6 +53,23 @@
     OVER = 5
 
 
+@dataclass(slots=True, frozen=True)
+class ClassTerms:
+    """What the settings of one revision say of a class; times are microseconds."""
+
+    sla_time: int
+    expiry: int
+    time_limit: int  # the paper's, for an approach's cost
+    target: int  # of the wait in the hold
+    interval: int
+    window: int  # how long a key is remembered
+    value: float
+    late_value: float
+    skip_value: float  # share of the value without the call; 0: never left out
+    calls: bool  # whether its runs may call
+    halts: bool  # whether a run can be stopped for nothing lost
+
+
 @dataclass(slots=True, eq=False)
 class Txn:
     """One txn that this instance has read. `ref` is the host's own mark; the brain only hands it back."""
@@ -66,6 +83,7 @@
     read: int  # into the hold
     due: int
     sla_due: int
+    terms: ClassTerms  # those under which it arrived, up to its answer
     resent: bool = False
     prior: Txn | None = None
     repeat: bool = False
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -537,7 +537,7 @@
     _m(
         "skip-any",
         BRAIN,
-        "if kind.skip_value > 0 and (\n                txn.left_out < txn.approach or stuck",
+        "if txn.terms.skip_value > 0 and (\n                txn.left_out < txn.approach or stuck",
         "if (\n                txn.left_out < txn.approach or stuck",
         "calls are left out that may not be",
     ),
