Load the configuration in steps, hold tenants in a table, and take limits and tenants live

The file was loaded by orjson at once, refused over 100,000 accounts, and all of it stood in one plain map of names; SIGHUP took addresses, stop_ms and cores alone. Now configuration/reading.py goes through the document a member or an item at a time with the standard library's decoder, holds a few pieces of the text at most and says how much work each step was; a start runs the steps through, a running instance does TURN_WORK of them in a turn of its loop. Tenants stand in a TenantTable; up to 1,000,000 are taken. configuration/application.py has the one table of what changes live, matches classes by name and tells by name what waits for a restart. The swap is one call between two requests; whoever has arrived keeps the terms, quota and right to skip of its revision, keys stay known as long as the longest deadline so far allows. An account that stands twice, a file that changes while it is read and half a surrogate pair are refused.

--- a/limeridge/__main__.py
+++ b/limeridge/__main__.py
@@ -12,7 +12,8 @@
 import sys
 from typing import Any
 
-from limeridge.config import Unusable, path_from, read
+from limeridge.config import Setup, Unusable, path_from, read, reading
+from limeridge.configuration.reading import Steps
 
 
 def main() -> int:
@@ -32,12 +33,16 @@
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
         from limeridge.net.service import run
 
-        return run(setup, lambda: read(path_from()), peers)
+        return run(setup, _reread, peers)
     except Unusable as unusable:
         print(f"limeridge: {' '.join(str(unusable).split())}", file=sys.stderr)
         return 2
 
 
+def _reread(before: Setup, now: int) -> Steps[Setup]:
+    return reading(path_from(), before=before, now=now)
+
+
 def _peers(words: list[str]) -> Any:
     """What makes the part of membership out of the file that the arguments name."""
     import argparse
--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -1,22 +1,37 @@
 """The one place where configuration is read, checked and given defaults.
 
 It owns the file's keys with their types, ranges and defaults, and turns the settings into the brain's one
-plain map. It must never act on a name of a deployment, place, product, customer or machine, and never let a
-value through that the rest could trip over: `Unusable` names the key and what was expected.
+plain map and the table of tenants. It must never act on a name of a deployment, place, product, customer or
+machine, and never let a value through that the rest could trip over: `Unusable` names the key and what was
+expected. A file is read in steps (`reading`), which a start runs through at once and a running instance a few
+in each turn of its event loop.
 """
 
 from __future__ import annotations
 
 import ipaddress
-import math
 import os
-from collections.abc import Callable, Iterator, Mapping
+import re
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
-from pathlib import Path
+from itertools import islice
 from typing import Any
 
-import orjson
-
+from limeridge.configuration.reading import (
+    BadDocument,
+    ChangedMeanwhile,
+    Document,
+    Steps,
+    file_pieces,
+    run_through,
+)
+from limeridge.configuration.tenants import (
+    RETENTION,
+    DuplicateTenant,
+    TenantFault,
+    TenantTable,
+    TenantTableBuilder,
+)
 from limeridge.words import Value, pairs_of, settings_of
 
 
@@ -45,7 +60,7 @@
     memory_mb: float
     sockets: int
     products: tuple[str, ...]  # the names that callers and the kernel use, as they stand in the file
-    customers: tuple[str, ...]
+    tenants: TenantTable
     plain: Mapping[str, Value]
 
 
@@ -62,7 +77,7 @@
     "classes.N.keyTtl": (INT, 0, YEAR, False),
     "classes.N.worth": (FLOAT, 0, 1e12, False),
     "classes.N.lateWorth": (FLOAT, 0, 1e12, False),
-    "accounts": (LIST, 0, 100_000, False),
+    "accounts": (LIST, 0, 1_000_000, False),
     "accounts.N.name": (TEXT, 1, 256, True),
     "accounts.N.quotaPerS": (FLOAT, 0, 1e12, False),
     "ceilings": (OBJECT, 0, 0, False),
@@ -108,6 +123,7 @@
     "round": (INT, 0, YEAR, False),
     "valueBy": (TEXT, 1, 64, False),
 }
+SURROGATE = re.compile("[\ud800-\udfff]")
 TYPES: dict[str, type | tuple[type, ...]] = {
     INT: int,
     FLOAT: (int, float),
@@ -118,33 +134,71 @@
 }
 
 
-def read_bytes(path: str) -> bytes:
-    return Path(path).read_bytes()
+ACCOUNT_TERMS = ("name", "quotaPerS")
+CHECKS_PER_STEP = 32  # settings that are checked at once
+CHECKS_WORK = 8
+PAIRS_PER_STEP = 16  # of settings that are turned into the plain map at once
+PAIRS_WORK = 4
+RETIREMENTS_PER_STEP = 100  # numbers of tenants that are looked at at once, for those that went
+RETIREMENTS_WORK = 25
+
+
+def read(path: str | None, load: Callable[[str], Iterable[bytes]] = file_pieces) -> Setup:
+    """The file that `BALANCER_CONFIG` names, read in one go. Raises Unusable."""
+    return run_through(reading(path, load))
+
 
+def reading(
+    path: str | None,
+    load: Callable[[str], Iterable[bytes]] = file_pieces,
+    before: Setup | None = None,
+    now: int = 0,
+) -> Steps[Setup]:
+    """The steps of reading it; `load` gives its content in pieces, and raises OSError where it can't be had.
 
-def read(path: str | None, load: Callable[[str], bytes] = read_bytes) -> Setup:
-    """The file that `BALANCER_CONFIG` names; `load` raises OSError where it can't be had."""
+    Tenants keep the numbers that they have in `before`. `now` are microseconds of a clock that does not go
+    back. Raises Unusable.
+    """
     if not path:
         raise Unusable("BALANCER_CONFIG: expected the path of the configuration file, it is not set")
+    accounts = Accounts(before, now)
     try:
-        value = orjson.loads(load(path))
+        value = yield from Document(load(path), {"settings.accounts": accounts.begin}).read()
     except OSError as trouble:
         raise Unusable(f"BALANCER_CONFIG: expected a file that can be read, got {trouble.strerror}") from None
-    except orjson.JSONDecodeError as trouble:
+    except ChangedMeanwhile:
+        raise Unusable("BALANCER_CONFIG: expected a file that stays while it is read, it changed") from None
+    except BadDocument as trouble:
         raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None
     if not isinstance(value, dict):
         raise Unusable("BALANCER_CONFIG: expected a JSON object")
-    return setup_of(value)
+    return (yield from _setting_up(value, accounts))
 
 
 def setup_of(value: dict[str, Any]) -> Setup:
+    """The same out of a value that was decoded already. Raises Unusable."""
+    accounts, settings = Accounts(None, 0), value.get("settings")
+    if isinstance(settings, dict) and isinstance(listed := settings.get("accounts"), list):
+        take = accounts.begin()
+        for item in listed:
+            take(item)
+        value = value | {"settings": settings | {"accounts": []}}
+    return run_through(_setting_up(value, accounts))
+
+
+def _setting_up(value: dict[str, Any], accounts: Accounts) -> Steps[Setup]:
     seed = str(_get(value, "seed", TEXT, 1, 64))
     try:
         seed_number = int(seed, 16)
     except ValueError:
         raise Unusable("seed: expected hex digits") from None
     settings = _get(value, "settings", OBJECT, 0, 0)
-    check_settings(settings)
+    if settings.get("accounts") is None:
+        accounts.begin()  # against those of a `settings` that stood before in the file
+    yield from _check_settings(settings, accounts)
+    plain = yield from _flattened({name: inner for name, inner in settings.items() if name != "accounts"})
+    products = tuple(each["name"] for each in settings["classes"])
+    accounts.keep_for(longest_memory(plain, len(products)))
     return Setup(
         name=str(_get(value, "name", TEXT, 1, 256)),
         listen=_address(value, "listen"),
@@ -156,20 +210,117 @@
         cores=float(_get(value, "limits.cores", FLOAT, 0.001, 1e6, 1.0)),
         memory_mb=float(_get(value, "limits.memory_mb", FLOAT, 16, 1e9, 192)),
         sockets=int(_get(value, "limits.sockets", INT, 32, 1e9, 1_024)),
-        products=tuple(each["name"] for each in settings["classes"]),
-        customers=tuple(each["name"] for each in settings.get("accounts") or ()),
-        plain=settings_of(pairs_of(settings)),
+        products=products,
+        tenants=(yield from accounts.build_steps()),
+        plain=plain,
+    )
+
+
+def longest_memory(plain: Mapping[str, Any], classes: int) -> int:
+    """Microseconds for which a request, or its key, may be known after it arrived."""
+    return max(
+        int(plain.get(f"products.{number}.window", 0)) + 2 * int(plain.get(f"products.{number}.expiry", 0))
+        for number in range(classes)
     )
 
 
-def check_settings(settings: dict[str, Any]) -> None:
+class Accounts:
+    """The items of `settings.accounts`, checked and put into the next table of tenants one at a time.
+
+    The first fault is kept: it is told once it is known that the file is JSON.
+    """
+
+    def __init__(self, before: Setup | None, now: int) -> None:
+        self._before = None if before is None else before.tenants
+        self._now = now
+        self._kept_for = RETENTION
+        if before is not None:
+            self.keep_for(longest_memory(before.plain, len(before.products)))
+        self.begin()
+
+    def begin(self) -> Callable[[Any], None]:
+        """A list of accounts begins, in place of any that began before; gives what takes its items."""
+        self._builder = TenantTableBuilder(self._before, now=self._now)
+        self.count = 0
+        self.fault: Unusable | None = None
+        return self.take
+
+    def take(self, item: Any) -> None:
+        number, self.count = self.count, self.count + 1
+        if self.fault is None:
+            try:
+                self._add(number, item)
+            except Unusable as fault:
+                self.fault = fault
+
+    def _add(self, number: int, item: Any) -> None:
+        """The table has the same bounds; what it refuses is looked at for what to say of it."""
+        try:
+            name, quota = item["name"], item.get("quotaPerS")
+            self._builder.add(name, 0.0 if quota is None else quota)
+            if not name.isascii():
+                _check_account(number, item)
+        except DuplicateTenant:
+            told = f"settings.accounts.{number}.name: expected a name of its own, an earlier account has it"
+            raise Unusable(told) from None
+        except TenantFault as fault:
+            _check_account(number, item)
+            raise Unusable(f"settings.accounts.{number}: {fault.fault}") from None
+        except (AttributeError, KeyError, TypeError):
+            _check_account(number, item)
+            raise
+
+    def keep_for(self, span: int) -> None:
+        """A tenant that goes keeps its number for at least so many microseconds."""
+        self._kept_for = max(self._kept_for, span)
+
+    def build_steps(self) -> Steps[TenantTable]:
+        self._builder.retired_until = self._now + self._kept_for
+        for _ in self._builder.build_steps(RETIREMENTS_PER_STEP):
+            yield RETIREMENTS_WORK
+        return self._builder.table
+
+
+def _check_account(number: int, item: Any) -> None:
+    if item is None:
+        raise Unusable(f"settings.accounts.{number}: expected an item, it is null")
+    if not isinstance(item, dict):
+        raise Unusable(f"settings.accounts.{number}: expected an object")
+    for term in ACCOUNT_TERMS:
+        _check_place(f"accounts.{number}.{term}", item.get(term), *SETTINGS[f"accounts.N.{term}"])
+
+
+def _flattened(settings: dict[str, Any]) -> Steps[dict[str, Value]]:
+    pairs = pairs_of(settings)
+    plain: dict[str, Value] = {}
+    try:
+        while some := list(islice(pairs, PAIRS_PER_STEP)):
+            plain |= settings_of(some)
+            yield PAIRS_WORK
+    except RecursionError:
+        raise Unusable("settings: expected fewer levels one in the other") from None
+    return plain
+
+
+def _check_settings(settings: dict[str, Any], accounts: Accounts) -> Steps[None]:
+    checked = 0
     for path, (kind, least, most, needed) in SETTINGS.items():
+        if path == "accounts" and accounts.count > most:
+            raise Unusable(f"settings.accounts: expected {kind} of {least:g} to {most:g} items")
+        if path == "accounts" and accounts.fault is not None:
+            raise accounts.fault
         for name, found in _places(settings, path):
-            if found is None:
-                if needed:
-                    raise Unusable(f"settings.{name}: expected {kind}, it is missing")
-            else:
-                _check(f"settings.{name}", found, kind, least, most)
+            _check_place(name, found, kind, least, most, needed)
+            checked += 1
+            if checked % CHECKS_PER_STEP == 0:
+                yield CHECKS_WORK
+
+
+def _check_place(name: str, found: Any, kind: str, least: float, most: float, needed: bool) -> None:
+    if found is not None:
+        _check(f"settings.{name}", found, kind, least, most)
+    elif needed:
+        raise Unusable(f"settings.{name}: expected {kind}, it is missing")
 
 
 def _places(value: Any, path: str, name: str = "") -> Iterator[tuple[str, Any]]:
@@ -197,8 +348,10 @@
     fits = isinstance(value, TYPES[kind]) and (kind == BOOL or not isinstance(value, bool))
     if not fits:
         raise Unusable(f"{name}: expected {kind}")
-    if kind in (INT, FLOAT) and not (math.isfinite(value) and least <= value <= most):
+    if kind in (INT, FLOAT) and not least <= value <= most:
         raise Unusable(f"{name}: expected {kind} from {least:g} to {most:g}")
+    if kind == TEXT and not value.isascii() and SURROGATE.search(value):
+        raise Unusable(f"{name}: expected {kind} of whole characters, half of a pair stands alone")
     if kind in (TEXT, LIST) and not least <= len(value) <= most:
         raise Unusable(
             f"{name}: expected {kind} of {least:g} to {most:g} {'items' if kind == LIST else 'characters'}"
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -16,7 +16,7 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from limeridge.brain import Brain
+from limeridge.brain import Brain, Quotas
 from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
 from limeridge.words import GAUGES
 
@@ -161,6 +161,7 @@
         log: LogSink,
         wake: Callable[[], None],
         results_most: int = RESULTS_KEPT,
+        quotas: Quotas | None = None,
     ) -> None:
         self.plain, self.seed, self.clock, self.log, self.wake = dict(plain), seed, clock, log, wake
         self.gauges = [GAUGES.get(name, name) for name in str(plain.get("instance.gauges", "")).split(",")]
@@ -181,7 +182,9 @@
         self.soon: Any = None  # the timer of the next asking
         self.touched: deque[Entry] = deque()
         self.ready_joins: list[Entry] = []
-        self.brain = Brain(self.plain, seed, self.now())
+        self.skews: dict[int, int] = {}  # by product, the longest that its txns may be read late
+        self._note_skews()
+        self.brain = Brain(self.plain, seed, self.now(), quotas)
         self._pull()
 
     def now(self) -> int:
@@ -286,6 +289,22 @@
             self.allowed = calls
             self._tell(self.brain.share, calls)
 
+    def revise(self, plain: Mapping[str, Any], quotas: Quotas | None) -> None:
+        """Settings of another revision, with the same classes by number, and the quotas of its tenants: for
+        what comes from now on. Raises what the brain raises, and then nothing is changed."""
+        idle = int(plain.get("instance.idle", 0))
+        self.brain.revise(self.now(), dict(plain), quotas)
+        if idle != int(self.plain.get("instance.idle", 0)):
+            self.idle_limit = idle
+        self.plain = dict(plain)
+        self._note_skews()
+
+    def _note_skews(self) -> None:
+        """What came under an earlier revision may still be read as late as that one allows."""
+        for product in range(int(self.plain.get("products.count", 0))):
+            expiry = int(self.plain.get(f"products.{product}.expiry", 0))
+            self.skews[product] = max(self.skews.get(product, 0), expiry)
+
     def guard(self) -> None:
         """Against a txn that the brain forgot: past its due time it is answered from here. The brain is asked
         first; after a pause of the machine this may come before its own wake-up."""
@@ -461,7 +480,7 @@
         """From the reading on, kept or not: two that are read together must know of each other. What ran
         stays for a while past its time, since txns are not read in the order of their landing."""
         now, key = self.now(), (entry.intake.product, entry.intake.key)
-        skew = int(self.plain.get(f"products.{entry.intake.product}.expiry", 0))
+        skew = self.skews.get(entry.intake.product, 0)
         tries = [
             (other, end)
             for other, end in self.keys.get(key, [])
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -22,6 +22,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer  # type: ignore[import-untyped]
 
+from limeridge.configuration.tenants import TenantTable
 from limeridge.facade import Answer, Intake, Kind
 from limeridge.net.log import Log
 
@@ -163,11 +164,12 @@
 
 
 class Decoder:
-    """Bytes to one of the typed messages; names become numbers in the settings' order."""
+    """Bytes to one of the typed messages; names of classes become numbers in the settings' order,
+    those of tenants the numbers of their table."""
 
-    def __init__(self, products: Sequence[str], customers: Sequence[str]) -> None:
+    def __init__(self, products: Sequence[str], tenants: TenantTable) -> None:
         self.products = {name: number for number, name in enumerate(products)}
-        self.customers = {name: number for number, name in enumerate(customers)}
+        self.tenants = tenants  # of the revision that is in force
 
     def decode(self, body: bytes) -> Message:
         try:
@@ -212,8 +214,9 @@
             raise Unfit(BAD_FIELD, "doc is not base64") from None
         if size > DOC_MOST:
             raise Unfit(BAD_FIELD, "doc is too long")
-        customer = text(params, "t", 256, "")
-        if customer and customer not in self.customers:
+        name = text(params, "t", 256, "")
+        customer = self.tenants.find(name) if name else 0
+        if customer is None:
             raise Unfit(BAD_FIELD, "unknown tenant")
         figure(params, "p", 0, 1, 0.0)
         return Ask(
@@ -221,7 +224,7 @@
             ref,
             entry,
             self.products[entry],
-            self.customers.get(customer, 0),
+            customer,
             int(figure(params, "f", 0, 1 << 53, 0)),
             int(figure(params, "s", 0, 1 << 53)),
             figure(params, "d", 0, 1e9, 0),
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -13,7 +13,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import fields, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any, Protocol
 
@@ -25,6 +25,8 @@
 
 from limeridge import __version__
 from limeridge.config import Setup, Unusable
+from limeridge.configuration.application import FIXED_FOR_MEMBERS, revised
+from limeridge.configuration.reading import Steps, run_turn
 from limeridge.facade import (
     RESULTS_KEPT,
     Answer,
@@ -60,8 +62,9 @@
 STAY = 0.9  # of the grace, that a draining instance goes on taking txns
 BETWEEN = 0.05  # seconds between two looks at the drain
 
-
-TAKEN = ("kernel", "ledger", "node_list", "stop", "cores")  # from a new configuration; the rest is fixed
+Reread = Callable[
+    [Setup, int], Steps[Setup]
+]  # the file anew, by what is in force and the time in microseconds
 
 
 class Peers(Protocol):
@@ -78,8 +81,9 @@
 class Job:
     """One txn in hand: its news in order, for the one handler that reads them."""
 
-    def __init__(self, intake: Intake) -> None:
+    def __init__(self, intake: Intake, may_skip: bool) -> None:
         self.intake = intake
+        self.may_skip = may_skip  # by the revision under which it arrived
         self.news: deque[News] = deque()
         self.waiting: Deferred[News] | None = None
         self.call: Call | None = None
@@ -108,24 +112,32 @@
         setup: Setup,
         reactor: Any,
         log: Log,
-        reread: Callable[[], Setup],
+        reread: Reread,
         unix: Callable[[], float] = time.time,
     ) -> None:
         self.setup, self.reactor, self.log, self.reread = setup, reactor, log, reread
-        self.reading: Any = None  # the timer of another look at a configuration that could not be used
-        plain = setup.plain
+        self.loading: Steps[Setup] | None = None  # of a new configuration
+        self.reading: Any = None  # the timer of its next turn, or of another try
         self.leaving, self.shut = False, False
         self.kill_at = 0.0
         self.quiet_since: float | None = None
         self.jobs: dict[str, Job] = {}
         budget = int(setup.memory_mb * (1 << 20))
-        self.facade = Facade(plain, setup.seed, reactor, log, self.wake, min(RESULTS_KEPT, budget // 8))
+        self.facade = Facade(
+            setup.plain,
+            setup.seed,
+            reactor,
+            log,
+            self.wake,
+            min(RESULTS_KEPT, budget // 8),
+            setup.tenants.quota,
+        )
         # Descriptors: half and a bit for callers, a few for ourselves; the kernel's link keeps its room.
         spare = max(16, min(48, setup.sockets // 4))
         to_ledger = min(128, setup.sockets // 8)
         self.callers = Callers(
             self,
-            Decoder(setup.products, setup.customers),
+            Decoder(setup.products, setup.tenants),
             reactor,
             log,
             most=setup.sockets - to_ledger - spare,
@@ -137,8 +149,7 @@
         self.kernel = Kernel(self, reactor, setup.kernel.host, setup.kernel.port, log)
         self.ledger = Ledger(reactor, setup.ledger.host, setup.ledger.port, log, to_ledger)
         self.node_list = NodeList(setup.name, setup.node_list.host, setup.node_list.port)
-        values: Any = plain.get("instance.skip_values") or []
-        self.skips = [number < len(values) and values[number] > 0 for number in range(len(setup.products))]
+        self.skips = skips_of(setup)
         self.port: Any = None
         self.exit_code = 0
         self.work_seen = False
@@ -167,6 +178,7 @@
             memory_mb=setup.memory_mb,
             sockets=setup.sockets,
             settings=dict(setup.plain),
+            tenants=len(setup.tenants),
         )
         self.guarded(lambda: self.listen(LISTEN_TRIES))
         self.open_reports()
@@ -240,7 +252,7 @@
             intake.answer(Answer(Kind.VOIDED, why="ref in use"))
             self.callers.released(intake)
             return
-        job = self.jobs[intake.ref] = Job(intake)
+        job = self.jobs[intake.ref] = Job(intake, self.skips[intake.product])
         ensureDeferred(self.handle(job)).addErrback(self.met, "txn-fault")
 
     async def handle(self, job: Job) -> None:
@@ -276,7 +288,7 @@
 
     def reply(self, job: Job, body: bytes) -> None:
         if job.blocked is not None:
-            self.kernel.reply(job.intake.ref, body, job.blocked.cursor, self.skips[job.intake.product])
+            self.kernel.reply(job.intake.ref, body, job.blocked.cursor, job.may_skip)
 
     def carry_out(self, job: Job, step: Step) -> None:
         intake = job.intake
@@ -354,27 +366,49 @@
 
     def reload(self, tries: int = READ_TRIES) -> None:
         """At SIGHUP, also while draining. A file that can't be used, or is not whole yet, changes nothing."""
-        if self.reading is not None and self.reading.active():
-            self.reading.cancel()
+        self.stop_loading()
+        self.loading = self.reread(self.setup, self.facade.now())
+        self.load(tries)
+
+    def load(self, tries: int) -> None:
+        """One turn's share of the reading; requests are served between two."""
+        if self.loading is None:
+            return
         try:
-            new = self.reread()
+            new = run_turn(self.loading)
         except Unusable as unusable:
+            self.loading = None
             self.log.event("reload", "unusable", why=" ".join(str(unusable).split()), tries_left=tries)
             if tries:
                 again = partial(self.reload, tries - 1)
                 self.reading = self.reactor.callLater(READ_AGAIN, self.guarded, again)
             return
-        old = self.setup
-        moved: dict[str, Any] = {"kernel": self.kernel, "ledger": self.ledger, "node_list": self.node_list}
-        moved = {name: part for name, part in moved.items() if getattr(new, name) != getattr(old, name)}
-        # Open txns, runs and what the brain has learned hang on the rest: it stays until a restart.
-        self.setup = replace(old, **{name: getattr(new, name) for name in TAKEN})
-        kept = [
-            each.name for each in fields(Setup) if getattr(new, each.name) != getattr(self.setup, each.name)
-        ]
-        self.log.event("reload", "taken", moved=sorted(moved), needs_restart=kept)
-        for name, part in moved.items():
-            address = getattr(new, name)
+        if new is None:
+            self.reading = self.reactor.callLater(0, self.guarded, partial(self.load, tries))
+            return
+        self.loading = None
+        self.take(new)
+
+    def stop_loading(self) -> None:
+        """Whatever is being read is not wanted any more."""
+        if self.reading is not None and self.reading.active():
+            self.reading.cancel()
+        if self.loading is not None:
+            self.loading.close()
+            self.loading = None
+
+    def take(self, new: Setup) -> None:
+        """Between two requests: whoever arrived keeps the revision that it arrived under. Open txns, runs and
+        what the brain has learned hang on what does not change live: that stays until a restart."""
+        fixed = frozenset[str]() if self.peers is None else FIXED_FOR_MEMBERS
+        revision = revised(self.setup, new, fixed)
+        setup = revision.setup
+        self.facade.revise(setup.plain, setup.tenants.quota)
+        self.setup, self.callers.decoder.tenants, self.skips = setup, setup.tenants, skips_of(setup)
+        self.log.event("reload", "taken", moved=[*revision.moved], needs_restart=[*revision.needs_restart])
+        parts: dict[str, Any] = {"kernel": self.kernel, "ledger": self.ledger, "node_list": self.node_list}
+        for name in revision.moved:
+            part, address = parts[name], getattr(setup, name)
             self.guarded(partial(part.move, address.host, address.port))
         self.guarded(self.report)
 
@@ -443,6 +477,7 @@
         }
 
     def stop(self) -> None:
+        self.stop_loading()
         for loop in self.loops:
             if loop.running:
                 loop.stop()
@@ -453,9 +488,13 @@
         self.reactor.callLater(0, self.reactor.stop)
 
 
-def run(
-    setup: Setup, reread: Callable[[], Setup], peers: Callable[[Setup, Any, Log], Peers] | None = None
-) -> int:
+def skips_of(setup: Setup) -> list[bool]:
+    """By class, whether its runs can go on without their calls."""
+    values: Any = setup.plain.get("instance.skip_values") or []
+    return [number < len(values) and values[number] > 0 for number in range(len(setup.products))]
+
+
+def run(setup: Setup, reread: Reread, peers: Callable[[Setup, Any, Log], Peers] | None = None) -> int:
     """`peers` makes the part of membership; it raises Unusable where its settings don't fit the
     instance's."""
     from twisted.internet import reactor as the_reactor
@@ -470,9 +509,12 @@
     def granted(setup: Setup) -> Setup:
         return setup if hard == resource.RLIM_INFINITY else replace(setup, sockets=min(hard, setup.sockets))
 
+    def reread_granted(before: Setup, now: int) -> Steps[Setup]:
+        return granted((yield from reread(before, now)))
+
     setup = granted(setup)
     resource.setrlimit(resource.RLIMIT_NOFILE, (setup.sockets, hard))
-    instance = Instance(setup, reactor, log, lambda: granted(reread()))
+    instance = Instance(setup, reactor, log, reread_granted)
     if peers is not None:
         instance.join(peers(setup, reactor, log))
     for notice, taken in instance.notices().items():
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -439,14 +439,14 @@
     _m(
         "missing-let-through",
         CONFIG,
-        "                if needed:\n",
-        "                if needed and not needed:\n",
+        "    elif needed:\n",
+        "    elif needed and not needed:\n",
         "a missing setting is not refused",
     ),
     _m(
         "half-file",
         CONFIG,
-        '    except orjson.JSONDecodeError as trouble:\n        raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None\n',
+        '    except BadDocument as trouble:\n        raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None\n',
         "    except ZeroDivisionError:\n        raise\n",
         "a file that is no JSON is not refused",
     ),
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -20,7 +20,7 @@
 from twisted.logger import globalLogPublisher
 from twisted.python.failure import Failure
 
-from limeridge.config import read
+from limeridge.config import read, reading
 from limeridge.net.log import Log
 from limeridge.net.service import Instance
 from limeridge.sim.links import Links
@@ -168,10 +168,11 @@
         self.reactor.stopped = self.exited
         log = Log(self.name, clock=self.reactor.seconds, unix=self.unix, write=self.logged)
 
-        def reread() -> Any:
-            return read("config", lambda _: self.file)
+        def reread(before: Any, now: int) -> Any:
+            return reading("config", lambda _: [self.file], before, now)
 
-        self.instance = Instance(reread(), self.reactor, log, reread, self.unix)
+        setup = read("config", lambda _: [self.file])
+        self.instance = Instance(setup, self.reactor, log, reread, self.unix)
         if plan.fleet is not None:
             self.link = self.linked(plan.fleet, log)
             self.instance.join(self.link)
@@ -213,7 +214,7 @@
         )
         nonce = world.chance(f"nonce {self.number} {self.lives}").getrandbits(56)
         return Link(
-            read("config", lambda _: self.file),
+            read("config", lambda _: [self.file]),
             peers,
             self.reactor,
             log,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,7 +15,7 @@
 from twisted.python.failure import Failure
 
 from limeridge.brain import Brain
-from limeridge.config import setup_of
+from limeridge.config import reading, setup_of
 from limeridge.facade import OUTCOMES, Answer, Blocked, Called, Ended, Facade, Intake, Kind
 from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
 from limeridge.net.callers import Frames, frame
@@ -507,7 +507,7 @@
             setup,
             self.reactor,
             self.log,  # type: ignore[arg-type]
-            lambda: setup_of(self.file),
+            lambda before, now: reading("config", lambda _: [orjson.dumps(self.file)], before, now),
         )
         self.unix = 1_764_576_000.0
         self.instance.callers.unix = lambda: self.unix + self.reactor.seconds() - 100.0
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -18,7 +18,7 @@
 from helpers import MOST, SAMPLE, Sink
 from twisted.internet.epollreactor import EPollReactor
 
-from limeridge.config import setup_of
+from limeridge.config import reading, setup_of
 from limeridge.net.callers import Frames, frame
 from limeridge.net.service import Instance
 
@@ -168,7 +168,7 @@
             setup_of(self.file),
             self.reactor,
             self.log,  # type: ignore[arg-type]
-            lambda: setup_of(self.file),
+            lambda before, now: reading("config", lambda _: [orjson.dumps(self.file)], before, now),
         )
         self.fars: list[Far] = []
         self.instance.start()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -486,7 +486,21 @@
 # ---- configuration
 
 
-def test_another_customer_s_settings_in_a_reload_change_addresses_alone() -> None:
+# What the sample says of an instance and the other file does not, and can't change while it runs.
+NOT_LIVE = (
+    "callsOver",
+    "gauges",
+    "justStarted",
+    "kbPerKey",
+    "linger",
+    "memoryKb",
+    "preemption",
+    "runFactor",
+    "say",
+)
+
+
+def test_another_customer_s_settings_in_a_reload_change_addresses_and_tenants_alone() -> None:
     net = Net()
     net.boot()
     caller = net.caller()
@@ -503,10 +517,14 @@
     net.instance.reload()
     [line] = [line for line in net.log.lines if line["event"] == "reload"]
     assert line["moved"] == ["ledger"]
-    assert set(line["needs_restart"]) == {"memory_mb", "sockets", "products", "customers", "plain"}
+    stay = {"memory_mb", "sockets", "settings.classes", "settings.familyInfo.cpus"}
+    stay |= {f"settings.familyInfo.{name}" for name in NOT_LIVE}
+    assert set(line["needs_restart"]) == stay and len(line["needs_restart"]) == len(stay)
     net.ask(caller, 1, "other")
     assert net.answers(caller)[0]["error"]["message"] == "unknown class"
-    ref = net.ask(caller, 2)
+    net.ask(caller, 2)
+    assert net.answers(caller)[0]["error"]["message"] == "unknown tenant"
+    ref = net.ask(caller, 3, t="them")
     assert [c["handle"] for c in net.commands()] == [ref]
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -186,7 +186,7 @@
     )
 )
 def test_any_json_is_decoded_to_a_message_or_a_fault(value: Any) -> None:
-    decoder = callers.Decoder(["look"], ["acme west"])
+    decoder = callers.Decoder(["look"], setup_of(SAMPLE).tenants)
     message = decoder.decode(json.dumps(value).encode())
     assert isinstance(message, callers.Ask | callers.Revoke | callers.Heartbeat | callers.Fault)
 
@@ -274,8 +274,15 @@
         "guarantees.rampTime=10000000 ceilings.retryAfter=true ceilings.maxRetryAfter=1000000 groupSize=3 "
         "round=5000 clients.marksRetry=true valueBy=work zones=a,b"
     )
-    plain = setup_of(SAMPLE).plain
-    assert plain == settings_of((name, value) for name, _, value in (p.partition("=") for p in text.split()))
+    setup = setup_of(SAMPLE)
+    plain = setup.plain
+    told = settings_of((name, value) for name, _, value in (p.partition("=") for p in text.split()))
+    customers = {name: told.pop(name) for name in list(told) if name.startswith("customers.")}
+    assert plain == told
+    # Tenants stand in a table of their own, under the same numbers.
+    assert len(setup.tenants) == customers["customers.count"] == 1
+    assert setup.tenants.find("acme west") == 0 and setup.tenants.name(0) == "acme west"
+    assert setup.tenants.quota(0) == customers["customers.0.quota_per_s"]
     assert plain["products.1.kind"] == "referenced" and plain["instance.skip_values"] == [0.5, 0.0]
 
 
