--- a/limeridge/scale/hollow.py
+++ b/limeridge/scale/hollow.py
@@ -21,6 +21,7 @@
 from twisted.python.failure import Failure
 
 from limeridge.config import Address, Setup
+from limeridge.configuration.tenants import TenantTable
 from limeridge.net.nodelist import EVERY as REPORT_EVERY
 from limeridge.net.nodelist import NodeList as Reports
 from limeridge.peers.link import Link, boot_time
@@ -319,7 +320,7 @@
         memory_mb=256.0,
         sockets=1_000,
         products=("p0",),
-        customers=(),
+        tenants=TenantTable.empty(),
         plain={"products.0.expiry": DEADLINE, "instance.linger": LINGER},
     )
 
