--- a/limeridge/config.py
+++ b/limeridge/config.py
@@ -236,13 +236,14 @@
         self._kept_for = RETENTION
         if before is not None:
             self.keep_for(longest_memory(before.plain, len(before.products)))
-        self.begin()
+        self._builder: TenantTableBuilder
+        self.count = 0
+        self.fault: Unusable | None = None
 
     def begin(self) -> Callable[[Any], None]:
         """A list of accounts begins, in place of any that began before; gives what takes its items."""
         self._builder = TenantTableBuilder(self._before, now=self._now)
-        self.count = 0
-        self.fault: Unusable | None = None
+        self.count, self.fault = 0, None
         return self.take
 
     def take(self, item: Any) -> None:
