Lay two types of the reload and of quotas out on one line

Cause: the formatter had broken two type aliases round their comments. Change: the comments stand above or are shorter; nothing else changes.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -62,9 +62,7 @@
 HEEDED = 1_000_000  # how long a caller keeps to what it was told, where the settings do not say
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
 INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
-Quotas = Callable[
-    [int], float | None
-]  # a customer's, in txns a second of the whole fleet; none or 0: no bound
+Quotas = Callable[[int], float | None]  # by customer: txns a second of the whole fleet; none or 0: no bound
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -62,9 +62,8 @@
 STAY = 0.9  # of the grace, that a draining instance goes on taking txns
 BETWEEN = 0.05  # seconds between two looks at the drain
 
-Reread = Callable[
-    [Setup, int], Steps[Setup]
-]  # the file anew, by what is in force and the time in microseconds
+# The file anew, by what is in force and the time in microseconds.
+Reread = Callable[[Setup, int], Steps[Setup]]
 
 
 class Peers(Protocol):
