--- a/limeridge/cli/scale.py
+++ b/limeridge/cli/scale.py
@@ -13,6 +13,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from limeridge.cli.capacity import plan, report
 from limeridge.scale import results, sweeps
 
 
@@ -101,3 +102,7 @@
         click.echo(f"failed: {failed}")
     verdict = "failed" if outcome.failed else "done"
     click.echo(f"{result.name}: {verdict} in {result.seconds:g} s, {result.cores} cores, {result.revision}")
+
+
+scale.add_command(plan)
+scale.add_command(report)
