--- a/tests/test_configuration_live.py
+++ b/tests/test_configuration_live.py
@@ -28,6 +28,7 @@
 from limeridge.histogram import Histogram
 from limeridge.interface import Outcome, Stage, Verb
 
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nreply"
 often = settings(derandomize=True, max_examples=150, deadline=None)
 json_values: Any = st.recursive(
     st.none()
@@ -306,10 +307,20 @@
         accounts=[{"name": "them", "quotaPerS": 9.0}],
     )
     assert (line["code"], line["needs_restart"]) == ("taken", [])
+    reload(net, familyInfo__classSkipWorth=[0.0, 0.0], familyInfo__idle=7_000_000)
+    assert net.instance.idle_limit() == 7_000_000
+    assert net.instance.facade.skews[0] == 4_000_000, "it may have been read as late as that"
+    assert not net.instance.skips[0]
     [entry] = net.instance.facade.open.values()
     assert entry.txn.terms.expiry == 4_000_000 and entry.txn.due - entry.txn.arrived == 3_000_000
     net.pass_time(0.5)  # past the new deadline
     assert net.answers(caller) == [] and net.commands()[0]["handle"] == ref
+    net.tell(event="IOREQ", cursor=None, handle=ref, arg="Y2FsbA==")
+    line_to_records = net.connect("127.0.1.2")
+    replies: list[bool] = []
+    net.instance.kernel.reply = lambda *given: replies.append(given[-1])  # type: ignore[method-assign]
+    line_to_records.dataReceived(REPLY)
+    assert replies == [True], "its run may go on without the call, as when it arrived"
     end_run(net, ref)
     assert net.answers(caller)[0]["result"]["doc"] == "ZG9uZQ=="
     net.ask(caller, 2)
