--- a/limeridge/duty/allot.py
+++ b/limeridge/duty/allot.py
@@ -73,6 +73,8 @@
 
 @dataclass(slots=True)
 class Out:
+    """What one holder may have in hand of the surplus, and until when at the latest."""
+
     calls: int
     until: int  # on the holder's clock
 
--- a/limeridge/duty/allotting.py
+++ b/limeridge/duty/allotting.py
@@ -21,6 +21,8 @@
 
 @dataclass(slots=True)
 class Allotting:
+    """Both sides of dealing by need: a member asks for its part, and deals while it holds the duty."""
+
     terms: Terms
     duties: Duties
     taker: Taker
@@ -60,10 +62,12 @@
             self.out.append((holder, "need", self.seq, self.need(), self.key))
 
     def heard_need(self, sender: str, key: str, seq: int, need: int, now: int) -> None:
+        """Takes a member's request for `need` calls; answered where this member holds the duty."""
         if not self.duties.leaving:
             self._deal(sender, key, seq, need, now)
 
     def heard_grant(self, seq: int, calls: int, key: str) -> None:
+        """Takes the answer to request `seq`; an answer to another life under our name is passed over."""
         if key != self.key:
             return  # another process under our name asked
         asked_at = self.asked.pop(seq, None)
--- a/limeridge/duty/ballots.py
+++ b/limeridge/duty/ballots.py
@@ -90,6 +90,7 @@
     kept_until: int = 0
 
     def stands(self, now: int) -> bool:
+        """Whether somebody may hold the duty by this promise at `now`."""
         return self.token != NONE and now < self.until
 
     def asked(self, token: Token, now: int) -> Answer:
@@ -119,6 +120,7 @@
                 self.kept_for, self.kept_until = successor, now + keep
 
     def learned(self, highest: Token) -> None:
+        """Raises the highest token that is known of, so that none below it is granted."""
         self.highest = max(self.highest, highest)
 
 
@@ -137,6 +139,7 @@
     )  # voters that told what they know; True: they remember
 
     def knows_of(self, duty: str) -> bool:
+        """Whether this voter takes part in that duty; duties that are not declared are bounded in number."""
         return (
             duty in self.promises
             or duty in self.terms
@@ -150,10 +153,12 @@
         return self.promises[duty]
 
     def silent(self, now: int) -> bool:
+        """Whether a lease that an earlier life under its name granted may still run."""
         return now < self.born + self.longest
 
     @property
     def longest(self) -> int:
+        """The longest that any lease may run by our clock, microseconds."""
         usual = [] if self.usual is None else [self.usual]
         return max((each.hold for each in [*self.terms.values(), *usual]), default=0)
 
@@ -163,6 +168,7 @@
         return sum(each for name, each in self.told.items() if name != self.own) >= self.quorum
 
     def votes(self, now: int) -> bool:
+        """Whether it may answer: not silent, and a quorum remembers, or it waited long enough for one."""
         return not self.silent(now) and (self.remembers() or now >= self.born + int(PATIENCE * self.longest))
 
     def asked(self, duty: str, token: Token, now: int) -> Answer | None:
@@ -172,6 +178,8 @@
         return self.promise(duty).asked(token, now)
 
     def given_back(self, duty: str, token: Token, successor: str, keep: int, now: int) -> None:
+        """Frees a duty that its holder gave up; for `keep` microseconds only `successor` is granted it, if
+        one is named."""
         if self.knows_of(duty):
             self.promise(duty).given_back(token, successor, keep, now)
 
@@ -186,4 +194,5 @@
                 self.promise(duty).learned(token)
 
     def knows(self) -> dict[str, Token]:
+        """The highest token known of each duty."""
         return {duty: each.highest for duty, each in self.promises.items() if each.highest != NONE}
--- a/limeridge/duty/check.py
+++ b/limeridge/duty/check.py
@@ -97,6 +97,8 @@
 
 
 class Reply(NamedTuple):
+    """A voter's answer on its way, `left` ticks from the asking until what it grants is over."""
+
     candidate: int
     token: Token
     why: str
@@ -105,6 +107,8 @@
 
 
 class VoterState(NamedTuple):
+    """What one voter holds, each time as the ticks that are left of it."""
+
     token: Token = NONE
     left: int = 0  # of the promise
     highest: Token = NONE
@@ -118,6 +122,8 @@
 
 
 class TenureState(NamedTuple):
+    """What one candidate holds; `begins` is how often it may still ask anew."""
+
     token: Token = NONE
     given: bool = False
     known: Token = NONE
@@ -125,6 +131,9 @@
 
 
 class State(NamedTuple):
+    """Everything at one point: whose turn it is, how much of each kind may still happen, what each process
+    holds."""
+
     turn: int
     ticks: int
     renewals: int
@@ -154,6 +163,7 @@
         self.last = 2 * self.count + scope.voters
 
     def first(self) -> State:
+        """The state in which nothing has happened."""
         scope, none = self.scope, (-1,) * self.count
         return State(
             0, scope.ticks, scope.renewals, scope.gives, scope.restarts, scope.doubled, scope.drifts, NONE,
@@ -164,6 +174,7 @@
     # ---- objects of the program, and back
 
     def tenure(self, state: State, number: int) -> Tenure:
+        """A candidate's tenure as the program has it, made anew at NOW from what the state keeps."""
         kept = state.tenures[number]
         tenure = Tenure(self.terms, NAMES[number], number + 1, self.quorum, kept.token)
         tenure.given, tenure.known = kept.given, kept.known
@@ -173,6 +184,7 @@
         return tenure
 
     def keep(self, state: State, number: int, tenure: Tenure, begun: int = 0) -> State:
+        """The state with what a tenure holds now; `begun` is how many askings anew it used up."""
         lease, voters = self.terms.lease, []
         for place, voter in enumerate(state.voters):
             at = tenure.granted.get(str(place))
@@ -186,6 +198,7 @@
         return state._replace(voters=tuple(voters), tenures=tenures)
 
     def voter(self, kept: VoterState, name: str) -> Voter:
+        """A voter as the program has it, made anew at NOW from what the state keeps."""
         terms = {DUTY: self.terms}
         if kept.told < 0:
             voter = Voter(name, terms, self.quorum, -NOW)
@@ -203,6 +216,7 @@
     # ---- what must hold
 
     def broken(self, state: State) -> str:
+        """Which rule the state breaks, in words; empty where it breaks none."""
         holders = [
             number
             for number, kept in enumerate(state.tenures)
@@ -228,6 +242,7 @@
     # ---- events
 
     def next(self, state: State) -> Iterator[Step]:
+        """All events that may come next, each with the state that it leads to."""
         turn, count = state.turn, self.count
         if turn == self.last:
             yield from self.tick(state)
@@ -283,6 +298,7 @@
             yield ("gives back", number, token), self.sent(after, Ask(number, token, self.terms.hold, True))
 
     def sent(self, state: State, ask: Ask) -> State:
+        """The state with an asking on its way to every voter."""
         voters = tuple(
             voter if ask in voter.asks else voter._replace(asks=tuple(sorted((*voter.asks, ask))))
             for voter in state.voters
@@ -290,6 +306,8 @@
         return state._replace(voters=voters)
 
     def at_voter(self, state: State, place: int) -> Iterator[Step]:
+        """What a voter may do at its turn: take any asking that is on its way, and more where the scope has
+        it."""
         kept = state.voters[place]
         waits = self.scope.recalls and kept.told >= 0 and bin(kept.told).count("1") < self.quorum
         for ask in () if waits else kept.asks:
@@ -341,9 +359,11 @@
 
     @staticmethod
     def put(state: State, place: int, voter: VoterState) -> State:
+        """The state with another voter at `place`."""
         return state._replace(voters=(*state.voters[:place], voter, *state.voters[place + 1 :]))
 
     def answers(self, state: State, number: int) -> Iterator[Step]:
+        """The late answers that a candidate may hear at its turn."""
         for place, kept in enumerate(state.voters):
             for reply in kept.replies:
                 if reply.candidate != number:
@@ -360,6 +380,7 @@
         return self.keep(state, reply.candidate, tenure)
 
     def tick(self, state: State) -> Iterator[Step]:
+        """The passing of a tick, for all clocks alike or with one that drifts."""
         if not state.ticks:
             return
         state = state._replace(ticks=state.ticks - 1, turn=0)
@@ -414,6 +435,7 @@
         return state if ordered == voters else state._replace(voters=ordered)
 
     def said(self, what: Any) -> str:
+        """An event in words, for the way to a break."""
         if what[0] == "tick":
             return "a tick passes" + (f" ({self.clock(what[1])} goes {what[2]})" if len(what) > 1 else "")
         if what[0] in ("asks", "asks again", "gives back"):
@@ -426,6 +448,7 @@
         return f"a voter {what[0]}" + (" another" if len(what) > 2 else "")
 
     def clock(self, who: int) -> str:
+        """Whose clock has that number, in words."""
         count = self.scope.voters
         return "a voter's clock" if who < count else f"{NAMES[who - count]}'s clock"
 
@@ -435,6 +458,8 @@
 
 @dataclass(slots=True)
 class Found:
+    """What the search of one scope came to; `way` is the shortest way to a break, empty where none is."""
+
     scope: str
     states: int = 0
     depth: int = 0  # of the event furthest from the start, passed turns not counted
@@ -552,6 +577,7 @@
 
 
 def answered(tenure: Tenure, voter: str, answer: Answer, asked_at: int) -> None:
+    """Hands an answer to a tenure; a function of its own so that a mistake can be put in its place."""
     tenure.answered(voter, answer, asked_at)
 
 
--- a/limeridge/duty/electorate.py
+++ b/limeridge/duty/electorate.py
@@ -21,6 +21,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Electorate:
+    """The voters of one version of the settings, and those of the version before."""
+
     version: int
     voters: tuple[str, ...]
     before: tuple[str, ...] = ()  # of the version before, from version 2 on
@@ -33,6 +35,7 @@
 
     @property
     def quorum_before(self) -> int:
+        """As `quorum`, of the voters of the version before."""
         return (len(self.before) + self.doubles) // 2 + 1
 
     def faults(self) -> str:
--- a/limeridge/duty/guest.py
+++ b/limeridge/duty/guest.py
@@ -13,6 +13,8 @@
 
 
 class DutyGuest:
+    """Duties, and dealing by need where it is on, as a part that members carry."""
+
     kind = "duty"
 
     def __init__(self, duties: Duties, allotting: Allotting | None = None) -> None:
@@ -22,18 +24,21 @@
         self.strange = 0  # bodies that could not be read
 
     def next_at(self, now: int) -> int:
+        """When it is to be woken next, microseconds."""
         times = [self.duties.next_at(now)]
         if self.allotting is not None and not self.duties.leaving:
             times.append(max(now + 1, self.allotting.next_ask))
         return min(times)
 
     def wake(self, present: tuple[str, ...], unix: int, now: int) -> None:
+        """Called at `next_at` or soon after; `present` are names, `unix` is Unix time in microseconds."""
         self.duties.wake(present, unix, now)
         if self.allotting is not None:
             self.allotting.wake(now)
         self._take()
 
     def heard(self, sender: Claim, body: bytes, unix: int, now: int) -> None:
+        """Takes what the same part of another member sent; what cannot be read is counted."""
         said = words.decode(body)
         if said is None:
             self.strange += 1
@@ -53,10 +58,12 @@
             self.allotting.heard_grant(said.seq, said.calls, said.to)
 
     def leave(self, now: int) -> None:
+        """Gives back all duties that are held here."""
         self.duties.leave(now)
         self._take()
 
     def release(self, duty: str, successor: str, now: int) -> str:
+        """Gives a duty back by hand, to `successor` where one is named; what was wrong, or empty."""
         trouble = self.duties.release(duty, successor, now)
         self._take()
         return trouble
--- a/limeridge/duty/member.py
+++ b/limeridge/duty/member.py
@@ -37,6 +37,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Event:
+    """A line for the log."""
+
     code: str
     duty: str
     fields: dict[str, object]
@@ -46,7 +48,8 @@
     """Who does a duty. `able`: whether it could, now (its resource is in reach, it is not itself
     overloaded)."""
 
-    def able(self, now: int) -> bool: ...
+    def able(self, now: int) -> bool:
+        """Whether this member can do the work of the duty just now; asked before it asks for the duty."""
 
 
 @dataclass(slots=True)
@@ -60,6 +63,8 @@
 
 
 class Duties:
+    """All duties at one member: its tenures, its vote, and when it asks."""
+
     def __init__(
         self,
         own: str,
@@ -151,6 +156,7 @@
     # ---- time
 
     def next_at(self, now: int) -> int:
+        """When `wake` is to be called next, microseconds."""
         if self.leaving:
             return 1 << 62
         times = [
--- a/limeridge/duty/seek.py
+++ b/limeridge/duty/seek.py
@@ -50,6 +50,7 @@
     better_since: dict[str, int] = field(default_factory=dict)
 
     def ranked(self, present: Sequence[str]) -> list[str]:
+        """The names in the order in which they ask for this duty; the same at all members."""
         return sorted(present, key=lambda name: (-score_of(name, f"duty {self.duty}"), name))
 
     def rank(self, present: Sequence[str]) -> int:
@@ -74,6 +75,7 @@
         return now >= self.free_since + rank * self.waits.step
 
     def began(self, now: int) -> None:
+        """Notes that an asking began at `now`."""
         self.asked_at = self.renewed_at = now
 
     def had(self) -> None:
@@ -95,6 +97,7 @@
     # ---- having
 
     def renews(self, now: int) -> bool:
+        """Whether the lease is to be renewed now; True counts as having begun to."""
         if now < self.renewed_at + self.lease // RENEW:
             return False
         self.renewed_at = now
@@ -117,6 +120,7 @@
         return next((name for name in self.ranked(present) if name != self.own), "")
 
     def wakes_at(self, present: Sequence[str], holds: bool, now: int) -> int:
+        """When this duty is to be looked at next, microseconds; `holds` where we hold it."""
         if holds:
             return self.renewed_at + self.lease // RENEW
         if self.asked_at >= 0:
--- a/limeridge/duty/tenure.py
+++ b/limeridge/duty/tenure.py
@@ -15,6 +15,8 @@
 
 @dataclass(slots=True)
 class Tenure:
+    """One duty as its candidate or holder sees it: what voters granted, and until when it counts."""
+
     terms: Terms
     name: str
     nonce: int
@@ -41,6 +43,7 @@
         return now < self.until()
 
     def left(self, now: int) -> int:
+        """Microseconds that the duty may still be acted on; 0 where it is not held."""
         return max(0, self.until() - now)
 
     # ---- asking
--- a/limeridge/duty/words.py
+++ b/limeridge/duty/words.py
@@ -23,6 +23,8 @@
 
 
 class Answer(Struct, frozen=True, array_like=True, tag="y"):
+    """A voter's answer to asking `seq` under `token`; `why` is empty where it granted, else a reason code."""
+
     duty: str
     token: Token
     seq: int
@@ -94,6 +96,7 @@
 
 
 def encode(body: Body) -> bytes:
+    """The bytes of a body, as `decode` reads them."""
     return _encoder.encode(body)
 
 
--- a/limeridge/histogram.py
+++ b/limeridge/histogram.py
@@ -15,6 +15,7 @@
         self.known: dict[float, float] = {}  # since the last addition; asked far more often
 
     def add(self, value: float) -> None:
+        """Counts a value; at `keep` values all counts are halved, so that old ones fade."""
         self.counts[next((i for i, edge in enumerate(self.edges) if value <= edge), len(self.edges))] += 1
         self.total += 1
         self.known.clear()
--- a/limeridge/peers/digest.py
+++ b/limeridge/peers/digest.py
@@ -11,12 +11,19 @@
 
 
 class Digested(Protocol):
+    """What a digest is made of."""
+
     @property
-    def name(self) -> str: ...
+    def name(self) -> str:
+        """The member's name."""
+
     @property
-    def incarnation(self) -> int: ...
+    def incarnation(self) -> int:
+        """The number that the member itself raises."""
+
     @property
-    def rank(self) -> tuple[object, int, int]: ...
+    def rank(self) -> tuple[object, int, int]:
+        """Its place in the order of claims under the same name."""
 
 
 def digest_of(claim: Digested) -> int:
--- a/limeridge/peers/gate.py
+++ b/limeridge/peers/gate.py
@@ -25,6 +25,7 @@
         self.told = 0  # of those turned away, how many were told as need
 
     def in_hand(self) -> int:
+        """Calls that may be at the records service now, those left behind there among them."""
         now = self.clock()
         while self.lingering and self.lingering[0] <= now:
             self.lingering.popleft()
@@ -55,6 +56,8 @@
         return True
 
     def end(self, left_behind: bool) -> None:
+        """Counts a call out; `left_behind` where the records service may still work on it, for `linger`
+        microseconds."""
         self.out = max(0, self.out - 1)
         if left_behind:
             self.lingering.append(self.clock() + self.linger)
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -54,15 +54,19 @@
 
 
 class Datagrams(DatagramProtocol):
+    """The member's UDP port."""
+
     noisy = False
 
     def __init__(self, link: Link) -> None:
         self.link = link
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:
+        """Called by Twisted for each datagram."""
         self.link.datagram(data)
 
     def connectionRefused(self) -> None:
+        """Called by Twisted where a peer has no socket there: the failure detector finds out by itself."""
         return
 
 
@@ -75,6 +79,7 @@
         self.link = link
 
     def ask(self) -> None:
+        """Reports our own address and asks who is listed, in two datagrams; counts what could not be sent."""
         link, transport = self.link, cast(Any, self.transport)
         seeker = link.peer.discovery.seeker
         if transport is None or seeker is None:
@@ -87,6 +92,7 @@
                 link.counts["list-unsent"] += 1
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:
+        """Called by Twisted for each part of service discovery's answer; counts what is none."""
         words = data.decode("ascii", "replace").split(" ")
         if len(data) > DATAGRAM_MOST or words[0] != "LISTED":
             self.link.counts["list-strange"] += 1
@@ -94,6 +100,7 @@
         self.link.listed(words[1:])
 
     def connectionRefused(self) -> None:
+        """Called by Twisted where nothing listens at service discovery's address; counted."""
         self.link.counts["list-refused"] += 1
 
 
@@ -109,6 +116,7 @@
         self.timer: Any = None
 
     def connectionMade(self) -> None:
+        """Called by Twisted: sends the message that this end was made for, if any."""
         self.timer = self.link.reactor.callLater(STREAM_WAIT, self.end, "slow")
         if self.message is not None:
             self.put(encode(self.message, self.link.key))
@@ -117,9 +125,11 @@
                 self.transport.loseConnection()
 
     def put(self, data: bytes) -> None:
+        """Sends one message, its length ahead."""
         self.sendString(data)  # type: ignore[no-untyped-call]
 
     def stringReceived(self, data: bytes) -> None:
+        """Called by Twisted for each whole message: the first is answered, then the connection is closed."""
         if self.code:
             return
         answer = self.link.streamed(data)
@@ -129,25 +139,31 @@
         self.transport.loseConnection()
 
     def lengthLimitExceeded(self, length: int) -> None:
+        """Called by Twisted where a message is announced that is longer than STREAM_MOST."""
         self.end("too-long")
 
     def end(self, code: str) -> None:
+        """Aborts the connection; `code` is the reason that is counted."""
         self.code = self.code or code
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Called by Twisted at the end of the connection; counts why."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.link.ended(self, self.code or "broke")
 
 
 class Streams(Factory):
+    """Connections that others open to us."""
+
     noisy = False
 
     def __init__(self, link: Link) -> None:
         self.link = link
 
     def buildProtocol(self, addr: Any) -> Stream | None:
+        """Called by Twisted for a new connection; None, which closes it, where STREAMS_MOST are open."""
         if self.link.streams_in >= STREAMS_MOST:
             self.link.counts["stream-crowd"] += 1
             return None
@@ -156,15 +172,19 @@
 
 
 class Way(ClientFactory):
+    """A connection that we open to another, for one message."""
+
     noisy = False
 
     def __init__(self, link: Link, message: Message) -> None:
         self.link, self.message = link, message
 
     def buildProtocol(self, addr: Any) -> Stream:
+        """Called by Twisted once the connection stands."""
         return Stream(self.link, self.message)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        """Called by Twisted where the other could not be reached; counted."""
         self.link.streams_out -= 1
         self.link.counts["stream-unreached"] += 1
 
@@ -181,6 +201,7 @@
         self.link = link
 
     def lineReceived(self, line: bytes) -> None:
+        """Called by Twisted for the question; answers it as one line of JSON and closes the connection."""
         asked = line.strip()
         if asked == b"show":
             told: object = self.link.snapshot()
@@ -199,12 +220,15 @@
 
 
 class ShownFactory(Factory):
+    """Connections to the socket that shows what is held."""
+
     noisy = False
 
     def __init__(self, link: Link) -> None:
         self.link = link
 
     def buildProtocol(self, addr: Any) -> Shown:
+        """Called by Twisted for a new connection."""
         return Shown(self.link)
 
 
@@ -293,6 +317,7 @@
     # ---- what the instance sees
 
     def start(self) -> None:
+        """Opens the sockets and begins to take part."""
         self._listen(LISTEN_TRIES)
         if self.show:
             self._listen_to_show()
@@ -310,13 +335,16 @@
         self._turn()
 
     def share(self) -> int | None:
+        """Calls in hand that this instance may have now; None where the limit is not shared out."""
         return self.peer.share(self.clock())
 
     def leave(self) -> None:
+        """Tells the others that this instance leaves; it goes on answering until `stop`."""
         self.peer.leave(self.clock())
         self._turn()
 
     def stop(self) -> None:
+        """Closes the sockets and ends the timer."""
         self.stopped = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -354,6 +382,7 @@
             self.log.event("peers", "show-unusable", why=str(trouble))
 
     def datagram(self, data: bytes) -> None:
+        """Takes a datagram; what is not of this fleet, or beyond IN_MOST a second, is counted and dropped."""
         second = self.clock() // 1_000_000
         if second != self.second:
             self.second, self.taken = second, 0
@@ -367,10 +396,12 @@
         self._heard(message)
 
     def listed(self, words: list[str]) -> None:
+        """Takes a part of service discovery's answer, split at its blanks, without its first word."""
         self.peer.discovery.listed(words)
         self._turn()
 
     def streamed(self, data: bytes) -> Table | None:
+        """Takes a message that came over TCP; the table that goes back, if any."""
         message = self._read(data)
         return None if message is None else self._heard(message)
 
@@ -394,6 +425,7 @@
         return answer
 
     def ended(self, stream: Stream, code: str) -> None:
+        """Counts the end of a connection, by its reason code."""
         if stream.message is None:
             self.streams_in -= 1
         else:
@@ -481,6 +513,7 @@
         }
 
     def snapshot(self) -> dict[str, object]:
+        """All that this member holds: of itself, of each other member, and of the share, as JSON has it."""
         peer, now = self.peer, self.clock()
         members = [self._shown(claim, now) for _, claim in sorted(peer.members.table.items())]
         told: dict[str, object] = {
--- a/limeridge/peers/members.py
+++ b/limeridge/peers/members.py
@@ -26,6 +26,7 @@
 
 
 def bytes_of(text: str) -> int:
+    """Length in UTF-8."""
     return len(text) if text.isascii() else len(text.encode())
 
 
@@ -81,6 +82,7 @@
         return self.life, (1 << 62) if left else self.incarnation, int(self.state)
 
     def overrules(self, other: Claim | None) -> bool:
+        """Whether it takes the place of `other`, a claim under the same name, or of none."""
         return other is None or self.rank > other.rank
 
 
@@ -204,6 +206,7 @@
         return self._digest
 
     def get(self, name: str) -> Claim | None:
+        """What is held of a name, ourselves included; None where nothing is."""
         return self.table.get(name)
 
     def others(self, *states: State) -> Iterator[Claim]:
@@ -219,6 +222,7 @@
     # ---- telling
 
     def tell_most(self) -> int:
+        """How often a change is told by each member, with as many members as are held now."""
         return TELL_FACTOR * max(1, len(self.table).bit_length())
 
     def to_tell(self, room: int, size: int, first: Iterable[str] = ()) -> list[Claim]:
--- a/limeridge/peers/messages.py
+++ b/limeridge/peers/messages.py
@@ -130,10 +130,12 @@
 
 
 def key_of(fleet: str, secret: bytes) -> bytes:
+    """The 32 bytes that datagrams and streams are tagged with, from the name of the fleet and its secret."""
     return blake2b(secret, key=fleet.encode()[:64], digest_size=32).digest()
 
 
 def encode(message: Message, key: bytes) -> bytes:
+    """The bytes of a message, its tag ahead."""
     body = _encoder.encode(message)
     return blake2b(body, key=key, digest_size=TAG).digest() + body
 
--- a/limeridge/peers/probing.py
+++ b/limeridge/peers/probing.py
@@ -105,6 +105,8 @@
 
 
 class Detector:
+    """The failure detector of one member: `wake` and what came give the acts that are to be carried out."""
+
     def __init__(self, members: Members, chance: random.Random, pace: Pace, now: int) -> None:
         self.members, self.chance, self.pace = members, chance, pace
         self.order: list[str] = []
@@ -241,6 +243,7 @@
         return [Accuse(claim)]
 
     def distrust(self, by: int) -> None:
+        """Raises the doubt of ourselves, or lowers it where `by` is negative, within its bounds."""
         self.doubt = max(0, min(self.pace.doubt, self.doubt + by))
 
     # ---- what came
--- a/limeridge/peers/reach.py
+++ b/limeridge/peers/reach.py
@@ -25,6 +25,8 @@
 
 
 class Stand(Enum):
+    """Among how many of the known members this instance stands. The text is the name in logs."""
+
     MOST = "most"
     FEW = "few"
     ALONE = "alone"
@@ -54,9 +56,11 @@
     stand_since: int = 0
 
     def of(self, name: str) -> Seen:
+        """The signs of a member, empty where there were none yet."""
         return self.seen.setdefault(name, Seen())
 
     def grade(self, claim: Claim, now: int) -> Grade:
+        """How well the member of this claim is reached from here."""
         seen = self.seen.get(claim.name) or Seen()
         if claim.state >= State.DEAD:
             return Grade.GONE
--- a/limeridge/peers/seeds.py
+++ b/limeridge/peers/seeds.py
@@ -88,6 +88,7 @@
 
 
 def address_of(word: str) -> Address | None:
+    """The address that `HOST:PORT` names; None where it is no IP address with a port."""
     host, _, port = word.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -63,6 +63,7 @@
 
 
 def check(message: pb.Peers, checked: Checked) -> None:
+    """Raises Unusable, with line and field, where the file of membership is at fault."""
     if not message.fleet or len(message.fleet) > NAME_MOST:
         raise checked.refuse("fleet", f"expected a name of 1 to {NAME_MOST} characters")
     _check_key(message, checked)
@@ -194,6 +195,8 @@
 
 
 def setup_of(message: pb.Peers) -> PeerSetup:
+    """The settings that a file, checked already, comes to; absent fields get their defaults. Raises OSError
+    where the key file has gone since."""
     interval = int((message.interval_ms or 1_000) * MS)
     habits = Habits.paced(
         interval,
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -58,10 +58,12 @@
 
     @property
     def floor(self) -> int:
+        """Calls that each instance may have in hand without anybody's word."""
         return int(self.floor_share * self.limit / (self.capacity + self.doubles))
 
     @property
     def surplus(self) -> int:
+        """Calls that are dealt out above the floors."""
         return self.limit - self.floor * (self.capacity + self.doubles)
 
     @property
@@ -75,11 +77,14 @@
         return int((self.lease + self.longest) * (1 + self.drift) / (1 - self.drift)) + 1
 
     def votes(self, name: str) -> bool:
+        """Whether the member of this name is a voter."""
         return not self.voters or name in self.voters
 
 
 @dataclass(slots=True, frozen=True)
 class View:
+    """The lives that the surplus is dealt out to, under one epoch."""
+
     epoch: Epoch
     keys: frozenset[str]
     _lucky: frozenset[str] | None = field(default=None, compare=False, repr=False)  # worked out once
@@ -92,6 +97,7 @@
         return each + (key in self.lucky(over))
 
     def lucky(self, over: int) -> frozenset[str]:
+        """The `over` lives that get one call more than the others."""
         if self._lucky is None or len(self._lucky) != over:
             purpose = f"{self.epoch[0]}"
             first = sorted(self.keys, key=lambda key: (score_of(key, purpose), key))[:over]
@@ -112,6 +118,7 @@
         self.supported: dict[Epoch, tuple[View, int]] = {}  # and when last
 
     def silent(self, now: int) -> bool:
+        """Whether it answers nobody yet: what an earlier life under its name supported may be in use."""
         return now < self.born + self._hold
 
     def offered(self, view: View) -> bool:
@@ -139,6 +146,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Supported:
+    """The last answer of one voter; `asked_at` is when we asked for it, microseconds."""
+
     epoch: Epoch
     cap: int
     asked_at: int
@@ -202,6 +211,7 @@
         return held is None or held.epoch < epoch or 2 * (now - held.asked_at) >= self.terms.lease
 
     def highest(self) -> Epoch:
+        """The highest epoch that any voter answered under."""
         return max((each.epoch for each in self.supports.values()), default=NO_EPOCH)
 
 
--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -27,9 +27,12 @@
         self.lingering: deque[tuple[int, int]] = deque()  # the same, with the end to come
 
     def begin(self, ref: int, now: int, time_out: int) -> None:
+        """Counts a call of request `ref`, which times out at `now + time_out` microseconds."""
         self.out[ref] = now, now + time_out
 
     def end(self, ref: int, now: int, left_behind: bool) -> None:
+        """Ends the call of `ref`, if there is one; `left_behind` where the records service may still work on
+        it."""
         if ref in self.out:
             self._pass(now)
             begin = self.out.pop(ref)[0]
@@ -42,6 +45,7 @@
             self.over.popleft()
 
     def in_hand(self, now: int) -> int:
+        """Calls that may be at the records service, those left behind there among them."""
         self._pass(now)
         return len(self.out) + len(self.lingering)
 
@@ -99,6 +103,8 @@
         self.levels: dict[int, tuple[float, int]] = {}
 
     def take(self, customer: int, per_s: float, depth: float, now: int) -> bool:
+        """Takes one from a tenant's bucket, which fills by `per_s` a second up to `depth`; False where it is
+        empty."""
         level, since = self.levels.get(customer, (depth, now))
         level = min(depth, level + per_s * (now - since) / 1_000_000)
         self.levels[customer] = level - (level >= 1), now
@@ -119,24 +125,29 @@
         self.kb_per_key = kb_per_key
 
     def enter(self, txn: Txn) -> None:
+        """Takes up a new request, its memory and its due time."""
         self.counts[txn.stage] += 1
         self.memory += txn.size_kb * self.weights[txn.stage]
         heapq.heappush(self.dues, (txn.due, next(self.serial), txn))
 
     def keep(self, txn: Txn, until: int) -> None:
+        """Remembers a request under its key until `until`, microseconds."""
         txn.kept, txn.remembered_until = True, until
         self.memory += self.kb_per_key
         heapq.heappush(self.keys, (until, next(self.serial), txn))
 
     def forget(self, txn: Txn) -> None:
+        """Drops what is remembered of a request that is over."""
         self.memory -= self.kb_per_key * txn.kept
         txn.kept = False
 
     def expire(self, now: int) -> None:
+        """Forgets all requests whose time of remembering is over."""
         while self.keys and self.keys[0][0] <= now:
             self.forget(heapq.heappop(self.keys)[2])
 
     def move(self, txn: Txn, stage: Stage, now: int) -> None:
+        """Moves a request to another stage, with the counts, memory and core time that go with it."""
         txn.core_time = self.core_time(txn, now)
         txn.since = now
         self.memory += txn.size_kb * (self.weights[stage] - self.weights[txn.stage])
@@ -145,10 +156,13 @@
         txn.stage = stage
 
     def core_time(self, txn: Txn, now: int) -> int:
+        """Microseconds that the request has been on a core up to `now`."""
         return txn.core_time + (now - txn.since) * (txn.stage == Stage.RUNNING)
 
     def on_cores(self) -> int:
+        """How many run on a core."""
         return self.counts[Stage.RUNNING]
 
     def in_runs(self) -> int:
+        """How many runs have begun and not ended, those that wait for a call among them."""
         return self.counts[Stage.RUNNING] + self.counts[Stage.PARKED] + self.counts[Stage.CALLING]
--- a/limeridge/settings/generate.py
+++ b/limeridge/settings/generate.py
@@ -12,6 +12,8 @@
 
 
 def generate(into: Path) -> None:
+    """Writes the Python modules of all .proto files into a folder. Raises SystemExit where protoc fails,
+    ImportError without grpc_tools."""
     from grpc_tools import protoc  # type: ignore[import-untyped]
 
     for source in sorted(HERE.glob("*.proto")):
--- a/limeridge/settings/load.py
+++ b/limeridge/settings/load.py
@@ -25,6 +25,7 @@
 
 @cache
 def grammar() -> Any:
+    """The parser of the text format that keeps the place of each field."""
     from lark import Lark
 
     return Lark((Path(__file__).parent / "text.lark").read_text(), parser="lalr", propagate_positions=True)
@@ -69,6 +70,7 @@
         self.file, self.text = file, text
 
     def refuse(self, path: str, expected: str) -> Unusable:
+        """The error to be raised for the field at `path`, with its line and column."""
         line, column = self._place(path)
         return Unusable(f"{self.file}:{line}:{column}: {path}: {expected}")
 
@@ -85,6 +87,7 @@
         return found.get(path, (1, 1))
 
     def number(self, path: str, value: float, least: float, most: float, what: str = "a number") -> None:
+        """Raises Unusable unless `value` is finite and within both bounds."""
         if not (math.isfinite(value) and least <= value <= most):
             raise self.refuse(path, f"expected {what} from {least:g} to {most:g}, got {value:g}")
 
@@ -106,6 +109,8 @@
 
 
 def parse(file: str, text: str, message: M, check: Callable[[M, Checked], None] | None = None) -> M:
+    """Reads `text` into `message` and returns it. Raises Unusable, with file, line and column, where it is
+    no such text or `check` refuses it."""
     try:
         text_format.Parse(text, message)
     except text_format.ParseError as trouble:
@@ -119,4 +124,5 @@
 
 
 def below(folder: Path, ending: str = ".txtpb") -> Iterator[Path]:
+    """The files in a folder that end so, in the order of their names."""
     return iter(sorted(folder.glob(f"*{ending}")))
