--- a/limeridge/bgp/codec.py
+++ b/limeridge/bgp/codec.py
@@ -27,6 +27,8 @@
 
 
 class Type(IntEnum):
+    """A message's type, RFC 4271 section 4.1 and RFC 2918."""
+
     OPEN = 1
     UPDATE = 2
     NOTIFICATION = 3
@@ -130,10 +132,13 @@
 
     @property
     def most(self) -> int:
+        """Bytes of a message, at the most."""
         return EXTENDED_MOST if self.extended else USUAL_MOST
 
 
 class Origin(IntEnum):
+    """Where a route comes from, RFC 4271 section 5.1.1; the lower is preferred."""
+
     IGP = 0
     EGP = 1
     INCOMPLETE = 2
@@ -180,6 +185,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Notification:
+    """An error, after which the connection is closed, RFC 4271 section 4.5."""
+
     code: int
     subcode: int
     data: bytes = b""
@@ -195,11 +202,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Keepalive:
-    pass
+    """A sign of life, RFC 4271 section 4.4."""
 
 
 @dataclass(slots=True, frozen=True)
 class RouteRefresh:
+    """The request for all routes of a family once more, RFC 2918."""
+
     family: int
     sub: int = UNICAST
 
@@ -255,6 +264,7 @@
 
 
 def framed(kind: Type, body: bytes) -> bytes:
+    """A whole message: marker, length and type ahead of its body."""
     return MARKER + (HEAD + len(body)).to_bytes(2, "big") + bytes([kind]) + body
 
 
@@ -354,6 +364,7 @@
 
 
 def encode_open(message: Open) -> bytes:
+    """The body of an OPEN, its capabilities in one optional parameter."""
     capabilities = [
         Capability(MULTIPROTOCOL, family.to_bytes(2, "big") + bytes([0, UNICAST]))
         for family in message.families
@@ -437,6 +448,7 @@
 
 
 def encode_prefixes(listed: Iterable[Prefix]) -> bytes:
+    """Prefixes as UPDATE has them: the length in bits, then as many bytes as that needs."""
     out = bytearray()
     for each in listed:
         size = (each.length + 7) // 8
@@ -446,6 +458,8 @@
 
 
 def decode_update(body: bytes, agreed: Agreed) -> Update:
+    """Reads the body of an UPDATE. What RFC 7606 lets be mended is told in `faults`, with all routes
+    withdrawn where it says so. Raises Bad where the session must end."""
     gone = int.from_bytes(body[:2], "big")
     if 4 + gone > len(body):
         raise Bad(Code.UPDATE, 1, why="length of the withdrawn routes")
@@ -660,6 +674,7 @@
 
 
 def encode_path(path: Sequence[Segment], size: int) -> bytes:
+    """An AS path with numbers of `size` bytes; one that does not fit becomes AS_TRANS."""
     out = bytearray()
     for kind, numbers in path:
         for start in range(0, len(numbers), 255):
--- a/limeridge/bgp/peer.py
+++ b/limeridge/bgp/peer.py
@@ -52,6 +52,7 @@
         self.free_at: dict[Prefix, int] = {}
 
     def want(self, routes: Mapping[Prefix, Attributes]) -> None:
+        """Sets what the peer is to know from now on."""
         self.wanted = dict(routes)
 
     def forget(self) -> None:
@@ -84,6 +85,7 @@
         return max(now, min(held)) if held else None
 
     def current(self) -> bool:
+        """Whether the peer was told all that it is to know."""
         return self.told == self.wanted
 
     def resend(self) -> None:
@@ -94,6 +96,9 @@
 
 @dataclass(eq=False)
 class Peer:
+    """One neighbour: our connection to it, those that it opens to us, and the routes that it is told.
+    What comes in gives what is to be done, each on its connection; times in microseconds."""
+
     terms: Terms
     chance: random.Random
     interval: int = MRAI
@@ -114,12 +119,14 @@
 
     @property
     def state(self) -> State:
+        """The state of the connection that is furthest on."""
         order = list(State)
         return max((session.state for session in self.sessions.values()), key=order.index)
 
     # ---- events
 
     def start(self, now: int) -> list[On]:
+        """Begins to connect, or to wait where the session is passive."""
         self.running = True
         return self._out(now, OURS, self.sessions[OURS].start(now))
 
@@ -145,14 +152,17 @@
         return line, self._out(now, line, session.connected(now, accepted=True) + session.tick(now))
 
     def connected(self, now: int) -> list[On]:
+        """To be called when the connection that we opened stands."""
         session = self.sessions[OURS]
         return self._out(now, OURS, session.connected(now, accepted=False) + session.tick(now))
 
     def lost(self, now: int, line: int, why: str = "connection lost") -> list[On]:
+        """To be called when a connection is gone, or was never made; `why` is for the log."""
         session = self.sessions.get(line)
         return [] if session is None else self._out(now, line, session.lost(now, why))
 
     def received(self, now: int, line: int, data: bytes) -> list[On]:
+        """Takes bytes that came over a connection; none where it is one that is over."""
         session = self.sessions.get(line)
         if session is None:
             return []
@@ -163,12 +173,14 @@
         return outs
 
     def tick(self, now: int) -> list[On]:
+        """To be called at `next_at` or soon after."""
         outs: list[On] = []
         for line, session in list(self.sessions.items()):
             outs += self._out(now, line, session.tick(now))
         return outs + self._advertise(now)
 
     def next_at(self, now: int) -> int | None:
+        """When `tick` is to be called next, microseconds; None where nothing is due."""
         times = [at for session in self.sessions.values() if (at := session.next_at()) is not None]
         if self.up is not None and (at := self.rib.next_at(now)) is not None:
             times.append(at)
--- a/limeridge/bgp/session.py
+++ b/limeridge/bgp/session.py
@@ -77,10 +77,13 @@
     idle_hold: int = 1 * SECOND
 
     def open(self) -> Open:
+        """The OPEN that these terms come to."""
         return Open(self.asn, self.hold, self.router, self.families)
 
 
 class Timer(Enum):
+    """The timers of RFC 4271 section 10, each by the event of its end."""
+
     CONNECT_RETRY = Event.CONNECT_RETRY_EXPIRES
     HOLD = Event.HOLD_EXPIRES
     KEEPALIVE = Event.KEEPALIVE_EXPIRES
@@ -108,22 +111,30 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
+    """Send this message."""
+
     message: Message
 
 
 @dataclass(slots=True, frozen=True)
 class Up:
+    """The session stands; `peer` is the OPEN that the peer sent."""
+
     agreed: Agreed
     peer: Open
 
 
 @dataclass(slots=True, frozen=True)
 class Down:
+    """The session is gone, and with it all that was learned by it."""
+
     why: str
 
 
 @dataclass(slots=True, frozen=True)
 class Take:
+    """Take the peer's routes, or its request for ours."""
+
     message: Update | RouteRefresh
 
 
@@ -139,6 +150,7 @@
     stood_since: int | None = None
 
     def up(self, now: int) -> None:
+        """Notes that the session stands since `now`, microseconds."""
         self.stood_since = now
 
     def down(self, now: int, hold: int) -> None:
@@ -148,6 +160,7 @@
         self.stood_since = None
 
     def wait(self, idle_hold: int) -> int:
+        """The idle hold time, in the unit of `idle_hold`: doubled for each oscillation, up to a bound."""
         return idle_hold << min(self.count, DOUBLINGS)
 
 
@@ -166,6 +179,9 @@
 
 @dataclass(eq=False)
 class Session:
+    """One connection by the state machine of RFC 4271 section 8. What comes in gives what is to be done;
+    times in microseconds."""
+
     terms: Terms
     chance: random.Random
     damping: Damping = field(default_factory=Damping)
@@ -185,6 +201,7 @@
     # ---- events
 
     def start(self, now: int) -> list[Out]:
+        """The automatic start, with damping."""
         return self.handle(
             now, Event.AUTOMATIC_START_DAMPED_PASSIVE if self.terms.passive else Event.AUTOMATIC_START_DAMPED
         )
@@ -201,6 +218,7 @@
         return self.handle(now, Event.TCP_CONFIRMED if accepted else Event.TCP_ACKED)
 
     def lost(self, now: int, why: str = "connection lost") -> list[Out]:
+        """To be called when the connection is gone, or was never made; `why` is for the log."""
         self.why = why
         return self.handle(now, Event.TCP_FAILS)
 
@@ -210,6 +228,7 @@
         return self.handle(now, Event.COLLISION_DUMP)
 
     def received(self, now: int, data: bytes) -> list[Out]:
+        """Takes bytes that came; an error among them ends the session as RFC 4271 section 6 says."""
         outs: list[Out] = []
         try:
             for kind, body in self.frames.feed(data):
@@ -282,6 +301,7 @@
         return min(self.timers.values(), default=None)
 
     def tick(self, now: int) -> list[Out]:
+        """Lets all timers expire that are due, in the order of their times."""
         outs: list[Out] = []
         while due := [(at, timer.value.value, timer) for timer, at in self.timers.items() if at <= now]:
             _, _, timer = min(due)
@@ -297,6 +317,7 @@
     # ---- the table, carried out
 
     def handle(self, now: int, event: Event, update: Update | None = None) -> list[Out]:
+        """Does what the table has for an event in this state; `update` goes with UPDATE."""
         actions, after = TABLE[self.state, event]
         outs: list[Out] = []
         for action in actions:
--- a/limeridge/trial/cost.py
+++ b/limeridge/trial/cost.py
@@ -36,6 +36,7 @@
 
 
 def at(number: int) -> str:
+    """The loopback address of an instance."""
     return f"127.221.0.{number + 1}"
 
 
@@ -48,6 +49,8 @@
 
 
 class Cost:
+    """Pairs of measurements of one instance under load, with peers and without, beside members at rest."""
+
     def __init__(self, members: int, rate: float, seconds: float, voters: int, folder: Path) -> None:
         self.members, self.rate, self.seconds, self.voters = members, rate, seconds, voters
         self.folder = folder
@@ -61,6 +64,7 @@
         (folder / "key").chmod(0o600)
 
     def files(self, number: int, kernel: int, ledger: int, listed: int) -> tuple[Path, Path]:
+        """Writes an instance's configuration and file of membership; their paths."""
         config = self.plan.config(0)
         config |= {
             "name": f"n{number}",
@@ -82,6 +86,7 @@
         return path, peers
 
     def spawn(self, number: int, files: tuple[Path, Path], peers: bool) -> subprocess.Popen[bytes]:
+        """Starts an instance that logs into the folder."""
         with (self.folder / f"{number}.log").open("ab") as log:
             return subprocess.Popen(
                 [sys.executable, "-m", "limeridge", *(["--peers", str(files[1])] if peers else [])],
@@ -91,6 +96,7 @@
             )
 
     async def run(self, pairs: int) -> None:
+        """Measures `pairs` pairs, their order changed about, and prints a row of JSON for each."""
         self.found()
         for number in range(1, self.members):
             self.children.append(self.spawn(number, self.files(number, 9, 9, 9), peers=True))
@@ -101,11 +107,13 @@
                 print(orjson.dumps(row).decode(), flush=True)
 
     def wait(self, seconds: float) -> Deferred[None]:
+        """Fires after so many seconds."""
         done: Deferred[None] = Deferred()
         self.reactor.callLater(seconds, done.callback, None)
         return done
 
     def found(self) -> None:
+        """Starts the stand-ins that instances need: records service and service discovery."""
         self.ledger = Ledger(self.reactor, random.Random(2), slots=1_000)
         self.node_list = NodeList(self.reactor, late=0.0)
         listen = self.reactor.listenTCP
@@ -113,6 +121,7 @@
         self.listed = self.reactor.listenUDP(0, self.node_list, interface="127.0.0.1").getHost().port
 
     def over(self, ref: str) -> None:
+        """Notes that the caller of a request is gone, and ends the request's run."""
         self.gone.add(ref)
         if self.kernel is not None:
             self.kernel.ended_outside(ref)
@@ -156,6 +165,7 @@
         }
 
     def stubs(self, pair: int) -> Iterator[Stub]:
+        """The callers, each with a seed of its own."""
         for number in range(CALLERS):
             yield Stub(
                 self.reactor,
@@ -169,6 +179,7 @@
             )
 
     def ask(self, stubs: list[Stub], chance: random.Random, number: int) -> None:
+        """Sends a request by one of the callers."""
         self.count += 1
         product = self.plan.products[number % len(self.plan.products)]
         key = f"k{self.count}" if product.kind == "guarded" else ""
@@ -179,6 +190,7 @@
         )
 
     def end(self) -> None:
+        """Kills all instances that still run."""
         for child in self.children:
             if child.poll() is None:
                 child.kill()
@@ -186,6 +198,7 @@
 
 
 def main() -> None:
+    """Runs by the arguments that the head of this file names; exit code 1 where it failed."""
     members, pairs, rate, seconds, voters = sys.argv[1:]
     with tempfile.TemporaryDirectory() as folder:
         cost = Cost(int(members), float(rate), float(seconds), int(voters), Path(folder))
--- a/limeridge/trial/crowd.py
+++ b/limeridge/trial/crowd.py
@@ -39,10 +39,12 @@
 
 
 def at(block: int, number: int) -> str:
+    """The loopback address of an instance within a block of addresses."""
     return f"127.{block}.{number // 250}.{1 + number % 250}"
 
 
 def files(folder: Path, number: int, count: int, voters: int) -> tuple[Path, Path]:
+    """Writes an instance's configuration and file of membership; their paths."""
     config: dict[str, Any] = draw(Ranges(), 1).config(0)
     config |= {
         "name": f"n{number}",
@@ -158,6 +160,7 @@
 
 
 def main() -> None:
+    """Runs by the arguments that the head of this file names."""
     count, peers, voters, seconds = sys.argv[1:]
     with tempfile.TemporaryDirectory() as folder:
         print(orjson.dumps(run(Path(folder), int(count), peers == "1", int(voters), float(seconds))).decode())
--- a/limeridge/trial/day.py
+++ b/limeridge/trial/day.py
@@ -35,16 +35,21 @@
 
 
 class Child(ProcessProtocol):
+    """The instance as a process; keeps all that it writes."""
+
     def __init__(self, day: Day) -> None:
         self.day, self.log = day, b""
 
     def outReceived(self, data: bytes) -> None:
+        """Called by Twisted with what the instance wrote to its standard output."""
         self.log += data
 
     def errReceived(self, data: bytes) -> None:
+        """Called by Twisted with what the instance wrote to its standard error."""
         self.log += data
 
     def processEnded(self, reason: Any) -> None:
+        """Called by Twisted at the end of the instance; ends the day."""
         self.day.report["exit"] = reason.value.exitCode
         self.day.reactor.callLater(0.1, self.day.reactor.stop)
 
@@ -80,10 +85,12 @@
         ]
 
     def over(self, ref: str) -> None:
+        """Notes that the caller of a request is gone, and ends the request's run."""
         self.gone.add(ref)
         self.kernel.ended_outside(ref)
 
     def start(self, folder: str) -> None:
+        """Starts the stand-ins, then the instance with a configuration that names them."""
         reactor, config = self.reactor, self.plan.config(0)
         ports = [
             reactor.listenTCP(0, each, interface=HERE).getHost().port for each in (self.kernel, self.ledger)
@@ -110,6 +117,8 @@
         reactor.callLater(0.05, self.await_ready)
 
     def await_ready(self) -> None:
+        """Begins the traffic once service discovery lists the instance; kills it after READY_MOST
+        seconds."""
         if self.node_list.listed():
             self.report["ready_s"] = round(self.reactor.seconds() - self.begun, 3)
             self.traffic()
@@ -119,6 +128,7 @@
             self.reactor.callLater(0.02, self.await_ready)
 
     def traffic(self) -> None:
+        """Sets out all requests and all misbehaving callers at drawn times, and the drain after them."""
         self.stubs[0].start()
         for number in range(int(self.seconds * self.rate)):
             self.reactor.callLater(self.chance.random() * self.seconds, self.ask, number)
@@ -130,6 +140,7 @@
         self.reactor.callLater(self.seconds + 2.5, self.drain)
 
     def ask(self, number: int) -> None:
+        """Sends a request by one of the callers."""
         product = self.chance.choice(self.plan.products)
         key = f"k{number}" if product.kind == "guarded" else ""
         doc = b"work=%d calls=%d op=5000 n=%d" % (self.chance.randrange(1_000, 6_000), number % 3, number)
@@ -148,10 +159,12 @@
         )
 
     def drain(self) -> None:
+        """Sends SIGTERM."""
         self.drained = self.reactor.seconds()
         self.process.signalProcess(signal.SIGTERM)
 
     def run(self) -> dict[str, Any]:
+        """Plays the whole day; what came of it, as JSON has it."""
         with tempfile.TemporaryDirectory() as folder:
             self.reactor.callWhenRunning(self.start, folder)
             self.reactor.run()
--- a/limeridge/trial/faults.py
+++ b/limeridge/trial/faults.py
@@ -34,6 +34,7 @@
     counts: Counter[str] = field(default_factory=Counter)
 
     def cut(self, source: int, target: int) -> bool:
+        """Whether nothing gets from one member to the other."""
         return self.cuts[(source, target)] > 0
 
     def datagram(self, source: int, target: int, size: int, now: int) -> list[int]:
@@ -67,6 +68,7 @@
     # ---- faults that begin; each gives what ends it
 
     def sever(self, ways: Iterable[tuple[int, int]]) -> Callable[[], None]:
+        """Cuts these ways; what is returned mends them."""
         chosen = list(ways)
         self.cuts.update(chosen)
 
--- a/limeridge/trial/judge.py
+++ b/limeridge/trial/judge.py
@@ -52,6 +52,8 @@
 
 @dataclass(slots=True)
 class Record:
+    """What a trial saw, for the judge. Times in microseconds since the end of the warm-up."""
+
     lives: list[Life] = field(default_factory=list)
     lines: list[Line] = field(default_factory=list)
     looks: list[Look] = field(default_factory=list)
@@ -67,6 +69,9 @@
 
 @dataclass(slots=True)
 class Verdict:
+    """What a trial came to; `broke` lists the rules that did not hold, `busy` says that the machine was
+    too slow for its times to count."""
+
     trial: str
     seed: int
     instances: int
@@ -89,6 +94,7 @@
     memory_mb: float = 0.0
 
     def plain(self) -> dict[str, Any]:
+        """As JSON has it."""
         return asdict(self)
 
 
@@ -98,6 +104,7 @@
 
 
 def judge(trial: Trial, record: Record) -> Verdict:
+    """The verdict on a record, by the rules that always hold and those that the trial expects."""
     verdict = Verdict(
         trial.name,
         trial.seed,
--- a/limeridge/trial/relay.py
+++ b/limeridge/trial/relay.py
@@ -32,17 +32,21 @@
         ]
 
     def close(self) -> None:
+        """Stops listening; connections that stand go on."""
         for port in self.ports:
             port.stopListening()
 
 
 class Datagrams(DatagramProtocol):
+    """The datagrams to one member."""
+
     noisy = False
 
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:
+        """Called by Twisted: passes the datagram on, as late and as often as the faults have it."""
         relay = self.relay
         source = relay.who.get(addr[0])
         if source is None:
@@ -55,6 +59,7 @@
                 self.forward(data)
 
     def forward(self, data: bytes) -> None:
+        """Sends a datagram to the member."""
         transport: Any = self.transport
         if transport is not None:
             try:
@@ -63,6 +68,7 @@
                 return
 
     def connectionRefused(self) -> None:
+        """Called by Twisted where the member has no socket: it is lost, as any datagram would be."""
         return
 
 
@@ -77,6 +83,7 @@
         self.up = False
 
     def connectionMade(self) -> None:
+        """Called by Twisted: opens the other side, or passes on what came before this one stood."""
         self.up = True
         if self.other is None:
             self.relay.reactor.connectTCP(*self.relay.member, Onward(self), timeout=5)
@@ -87,6 +94,8 @@
             self.other.early.clear()
 
     def dataReceived(self, data: bytes) -> None:
+        """Called by Twisted: passes bytes on, as late as the faults have it; drops them while the way is
+        cut."""
         relay, faults = self.relay, self.relay.faults
         if not faults.whole(self.source, relay.number):
             return  # it stands, and nothing comes through
@@ -97,12 +106,14 @@
             self.pass_on(data)
 
     def pass_on(self, data: bytes) -> None:
+        """Writes to the other side; kept until it stands."""
         if self.other is not None and self.other.up:
             self.other.transport.write(data)
         else:
             self.early.append(data)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Called by Twisted: closes the other side too, unless the way is cut."""
         self.up = False
         if (
             self.other is not None
@@ -113,25 +124,32 @@
 
 
 class Streams(Factory):
+    """Connections that members open to one member."""
+
     noisy = False
 
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
 
     def buildProtocol(self, addr: Any) -> Side | None:
+        """Called by Twisted for a new connection; None, which closes it, where it comes from no member."""
         source = self.relay.who.get(addr.host)
         return None if source is None else Side(self.relay, source)
 
 
 class Onward(ClientFactory):
+    """The second half of a relayed connection, to the member."""
+
     noisy = False
 
     def __init__(self, side: Side) -> None:
         self.side = side
 
     def buildProtocol(self, addr: Any) -> Side:
+        """Called by Twisted once the member is reached."""
         return Side(self.side.relay, self.side.source, self.side)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        """Called by Twisted where it is not reached: the first half is aborted."""
         if self.side.up:
             self.side.transport.abortConnection()
--- a/limeridge/trial/rig.py
+++ b/limeridge/trial/rig.py
@@ -60,6 +60,8 @@
 
 @dataclass
 class Child:
+    """One instance as a process."""
+
     number: int
     name: str
     at: str  # its host
@@ -81,12 +83,15 @@
         self.told, self.data = told, b""
 
     def connectionMade(self) -> None:
+        """Called by Twisted: asks for all that the member holds."""
         self.transport.write(b"show\n")
 
     def dataReceived(self, data: bytes) -> None:
+        """Called by Twisted with a part of the answer."""
         self.data += data
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Called by Twisted at the end of the answer, which is told if it is whole."""
         try:
             self.told(orjson.loads(self.data))
         except (orjson.JSONDecodeError, KeyError, TypeError):
@@ -94,16 +99,21 @@
 
 
 class Asker(ClientFactory):
+    """Connections to the read-only sockets of members."""
+
     noisy = False
 
     def __init__(self, told: Callable[[dict[str, Any]], None]) -> None:
         self.told = told
 
     def buildProtocol(self, addr: Any) -> Asking:
+        """Called by Twisted once the connection stands."""
         return Asking(self.told)
 
 
 class Rig:
+    """One trial: the processes, what stands round them, the faults between them and the record of it all."""
+
     def __init__(self, trial: Trial, folder: Path, lane: int = 0) -> None:
         self.trial, self.folder, self.lane = trial, folder, lane
         self.reactor: Any = the_reactor
@@ -122,14 +132,17 @@
         self.lives = 0
 
     def host(self, block: int, number: int) -> str:
+        """A loopback address within a block of this rig's lane."""
         return f"127.{block + 10 * self.lane}.{number // 250}.{1 + number % 250}"
 
     def now(self) -> int:
+        """Microseconds since the end of the warm-up; below 0 within it."""
         return int((time.time() - self.zero) * 1e6)
 
     # ---- the far ends
 
     def found(self) -> None:
+        """Writes the key and starts the stand-ins and the relays before the members."""
         trial, reactor = self.trial, self.reactor
         (self.folder / "key").write_bytes(SECRET)
         (self.folder / "key").chmod(0o600)
@@ -178,15 +191,18 @@
         ]
 
     def doubled(self) -> list[int]:
+        """The numbers of the members whose names two processes take."""
         return [number for act in self.trial.acts if act.kind is Kind.DOUBLE for number in act.who]
 
     def over(self, ref: str) -> None:
+        """Notes that the caller of a request is gone, and ends the request's run."""
         self.gone.add(ref)
         for kernel in self.kernels:
             if ref in kernel.runs:
                 kernel.ended_outside(ref)
 
     def in_hand(self, count: int) -> None:
+        """Records the records service's count of calls, where it changed."""
         most = self.record.in_hand[-1][1] if self.record.in_hand else -1
         if count != most:
             self.record.in_hand.append((self.now(), count))
@@ -194,6 +210,7 @@
     # ---- children
 
     def files(self, place: int, name: str) -> tuple[Path, Path]:
+        """Writes a process's configuration and file of membership; their paths."""
         trial = self.trial
         terms = trial.terms
         config = self.plan.config(0)
@@ -257,6 +274,7 @@
         return child
 
     def kill(self, child: Child, notice: int = signal.SIGKILL) -> None:
+        """Ends a process by SIGKILL, or tells it to leave where `notice` is another signal."""
         if child.ended or child.process.poll() is not None:
             return
         if notice == signal.SIGKILL:
@@ -282,6 +300,7 @@
     # ---- the time line
 
     def begin(self, act: Act) -> None:
+        """Begins a fault, and sets out its end."""
         later: Callable[[float, Callable[[], object]], object] = self.reactor.callLater
         lasts = act.lasts / 1e6
         chosen = [child for number in act.who if (child := self.children.get(number)) is not None]
@@ -320,11 +339,13 @@
                 later(lasts, heal)
 
     def go_on(self, child: Child) -> None:
+        """Ends the pause of a process."""
         child.paused = False
         if not child.ended:
             child.process.send_signal(signal.SIGCONT)
 
     def replace(self, child: Child) -> None:
+        """Tells a process to leave, and starts its successor once its grace is over."""
         self.kill(child, signal.SIGTERM)
 
         def successor() -> None:
@@ -337,6 +358,7 @@
         self.reactor.callLater(STOP / 1e3, successor)
 
     def flap(self, act: Act, until: float) -> None:
+        """Lets a fault come and go every `act.amount` milliseconds, until `until` on the monotonic clock."""
         if time.monotonic() >= until:
             return
         heal = self.faults.begin(act)
@@ -346,6 +368,7 @@
         self.reactor.callLater(2 * period, self.flap, act, until)
 
     def list_again(self) -> None:
+        """Lets service discovery listen again, at the address that it had."""
         self.list_port = self.reactor.listenUDP(self.list_at, self.list, interface=self.host(104, 1))
 
     def garble(self, number: int, count: int, lasts: float) -> None:
@@ -364,6 +387,7 @@
             self.reactor.callLater(self.chance.random() * lasts, self.throw, relay, data, number)
 
     def throw(self, port: Any, data: bytes, number: int) -> None:
+        """Sends a datagram to a member's address; one that cannot be sent is lost."""
         try:
             port.write(data, (self.host(101, number), PEER_PORT))
         except (OSError, AttributeError):
@@ -372,6 +396,7 @@
     # ---- load and looks
 
     def ask(self, number: int) -> None:
+        """Sends a request by one of the callers."""
         product = self.chance.choice(self.plan.products)
         key = f"k{number}" if product.kind == "guarded" else ""
         doc = b"work=%d calls=%d op=%d n=%d" % (
@@ -386,6 +411,7 @@
         )
 
     def look(self) -> None:
+        """Records what the members showed since the last look, and asks them again."""
         self.watch()
         shown, self.shown = self.shown, {}
         living = frozenset(
@@ -415,6 +441,7 @@
                 )
 
     def lateness(self) -> None:
+        """Records how late the rig's own timer came, at the worst."""
         now = time.monotonic()
         if self.due and self.zero:
             self.record.lateness = max(self.record.lateness, int((now - self.due) * 1e6))
@@ -445,6 +472,7 @@
     # ---- the run
 
     def begin_all(self) -> None:
+        """Sets out the starts, looks, faults, requests and the drain, each at its time."""
         trial, later = self.trial, self.reactor.callLater
         self.zero = time.time() + trial.warm / 1e6
         self.found()
@@ -485,6 +513,7 @@
         done()
 
     def run(self) -> judge.Verdict:
+        """Plays the trial, ends all processes and judges what was recorded."""
         self.reactor.callWhenRunning(self.begin_all)
         try:
             self.reactor.run()
@@ -498,6 +527,7 @@
         return judge.judge(self.trial, self.record)
 
     def read_logs(self) -> None:
+        """Adds to the record what the processes logged: changes of grades, and exceptions."""
         for log, number in self.logs.items():
             for line in log.read_bytes().splitlines():
                 try:
@@ -514,6 +544,8 @@
 
 
 def main() -> None:
+    """Plays the trial that the arguments name; prints the verdict, and writes it with the record. Exit
+    code 2 where the trial cannot be read."""
     name, seed, instances, folder = sys.argv[1], int(sys.argv[2]), int(sys.argv[3]), Path(sys.argv[4])
     lane = int(sys.argv[5]) if len(sys.argv) > 5 else 0
     try:
--- a/limeridge/trial/scenario.py
+++ b/limeridge/trial/scenario.py
@@ -119,6 +119,7 @@
 
 
 def names() -> list[str]:
+    """The names of the trials that come with the package."""
     return sorted(path.stem for path in FOLDER.glob("*.txtpb"))
 
 
@@ -132,6 +133,7 @@
 
 
 def check(message: pb.Trial, checked: Checked) -> None:
+    """Raises Unusable, with line and field, where the file of a trial is at fault."""
     if not message.name or not message.name.replace("-", "").isalnum():
         raise checked.refuse("name", "expected letters, digits and hyphens")
     checked.number("instances", message.instances, 1, 200, "instances")
@@ -161,6 +163,7 @@
 
 
 def kind_of(act: pb.Act) -> Kind:
+    """The kind of a fault in the file."""
     return Kind[pb.ActKind.Name(act.kind).removeprefix("ACT_")]
 
 
--- a/limeridge/trial/virtual.py
+++ b/limeridge/trial/virtual.py
@@ -34,10 +34,12 @@
 
 
 def passed_over(trial: Trial) -> list[str]:
+    """The kinds of faults in a trial that virtual members cannot have."""
     return sorted({act.kind.value for act in trial.acts if act.kind not in KINDS})
 
 
 def setting_of(trial: Trial) -> Setting:
+    """The trial as a setting of virtual members; the faults that they cannot have are left out."""
     habits = Habits.paced(trial.interval)
     troubles = tuple(
         Trouble(
@@ -108,6 +110,7 @@
 
 
 def run(trial: Trial) -> judge.Verdict:
+    """Plays a trial with virtual members and judges it by the same rules."""
     watch = Watch(trial)
     fleet = Fleet(setting_of(trial), watch)
     found = fleet.run()
