Say 'records service' for 'ledger' in membership and duties

Comments and docstrings alone; the duties' names (`ledger-allot`, `ledger-probe`) and the setting `ledger_allot` stay, as names on the wire and in files do, and with them the one line that a user reads of a bad file.

--- a/limeridge/duty/allot.py
+++ b/limeridge/duty/allot.py
@@ -33,7 +33,7 @@
 
     surplus: int  # calls in hand at one time, above all floors
     lasts: int = 1_500_000
-    longest: int = 2_000_000  # that a call may be in the ledger's hands
+    longest: int = 2_000_000  # that a call may be at the records service
     drift: float = 0.001  # of each clock
 
     @property
--- a/limeridge/duty/probe.py
+++ b/limeridge/duty/probe.py
@@ -1,11 +1,13 @@
-"""`ledger-probe`: while the ledger is down one instance tries it for all, and calls come back by steps.
+"""`ledger-probe`: while the records service is down one instance tries it for all, and calls come back by
+steps.
 
-It owns one instance's outlook on the ledger, what it may call, and what the holder tells the others. It must
-never make a call, hold the duty itself or look at a clock: it is told how calls went and who holds the duty.
+It owns one instance's outlook on the records service, what it may call, and what the holder tells the
+others. It must never make a call, hold the duty itself or look at a clock: it is told how calls went and who
+holds the duty.
 
 Up: calls go as the share allows. Down, after `trip` failures in a row with no good call between: the holder
 makes one try each `gap`, longer with each that failed; all others wait for its word. Where no holder is known
-each has a budget of its own, a try at a time drawn evenly up to a bound that doubles, so that a ledger that
+each has a budget of its own, a try at a time drawn evenly up to a bound that doubles, so that a service that
 comes back is found while nobody can talk. Rising, after `firm` good tries: an eighth of the share, then a
 quarter, a half, all, a step each `step`; failures as many as trip it bring it back down at once, for all by
 the holder's word and for each by its own calls.
@@ -102,7 +104,7 @@
     # ---- how calls went
 
     def went(self, well: bool, holds: bool, now: int) -> None:
-        """`well`: the ledger answered, whatever the answer; not: it refused, was not reached or kept
+        """`well`: the records service answered, whatever the answer; not: it refused, was not reached or kept
         silent."""
         if well:
             self.failures = 0
--- a/limeridge/peers/gate.py
+++ b/limeridge/peers/gate.py
@@ -1,6 +1,6 @@
 """The last look before a call goes out: whether the share that holds now has room for it.
 
-It owns the count of calls that may be in the ledger's hands, those left behind there among them. It must
+It owns the count of calls that may be at the records service, those left behind there among them. It must
 never keep a share: it asks for it anew each time, since the process may have stood still since it last did.
 """
 
@@ -14,8 +14,8 @@
 
 class Gate:
     """`share` gives the calls in hand allowed now, or None for any number; `clock` is in microseconds and
-    runs on while the process stands still; `linger` is how long the ledger keeps a call that its caller
-    left."""
+    runs on while the process stands still; `linger` is how long the records service keeps a call that its
+    caller left."""
 
     def __init__(self, share: Callable[[], int | None], clock: Callable[[], int], linger: int) -> None:
         self.share, self.clock, self.linger = share, clock, linger
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -35,7 +35,9 @@
     terms: DutyTerms
     waits: Waits
     list_read: bool
-    allot: int  # microseconds that a grant of the ledger's limit lasts; 0 where it is not dealt by need
+    allot: (
+        int  # microseconds that a grant of the records service's limit lasts; 0 where it is not dealt by need
+    )
 
 
 @dataclass(slots=True, frozen=True)
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -1,4 +1,5 @@
-"""Shares of a limit that is the fleet's: how many calls each instance may have in the ledger's hands.
+"""Shares of a limit that is the fleet's: how many calls each instance may have at the records
+service at one time.
 
 It owns the voter's memory of views, the holder's count of supports, and who offers a new view. It must
 never look at a clock, send anything or trust a timer: a share is worked out anew for each use, from times
@@ -52,7 +53,7 @@
     doubles: int = 1  # names that may be taken by two processes at once
     floor_share: float = 0.5  # of the limit, kept as floors
     lease: int = 3_000_000
-    longest: int = 2_000_000  # that a call may be in the ledger's hands, one given up or left behind included
+    longest: int = 2_000_000  # that a call may be at the records service, given up or left behind included
     settle: int = 500_000  # that the members must stand as they are before a view is made of them
     drift: float = 0.001  # of each clock
 
@@ -158,7 +159,7 @@
 
     def __init__(self, terms: Terms, now: int, quiet: int) -> None:
         """`quiet`: microseconds from the start until the first call, in which what an earlier life under this
-        name left behind at the ledger is over."""
+        name left behind at the records service is over."""
         self.terms, self.begins = terms, now + quiet
         self._quorum, self._floor = terms.quorum, terms.floor  # asked for before each call
         self.supports: dict[str, Supported] = {}
