--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -71,7 +71,7 @@
 
 
 class Listing(DatagramProtocol):
-    """The node list, where it can be read: it is told our address and asked who is there."""
+    """Service discovery, where its list can be read: it is told our address and asked who is there."""
 
     noisy = False
 
--- a/limeridge/peers/seeds.py
+++ b/limeridge/peers/seeds.py
@@ -1,4 +1,4 @@
-"""When the node list is asked for members, and what its answer is good for.
+"""When service discovery is asked for members, and what its answer is good for.
 
 It owns the waits of a reader, its budget, and the reading of an answer. It must never take an entry of the
 list for a member: an entry is an address to try, and the list may be old, empty, or half there.
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -54,7 +54,7 @@
     terms: Terms | None
     linger: int  # -1 where the configuration tells it
     longest_told: bool
-    from_list: bool = False  # members are also found by the node list
+    from_list: bool = False  # members are also found by service discovery
     duties: DutySetup | None = None
 
 
