--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -2,7 +2,7 @@
 timer.
 
 It owns bytes, their bounds and their counts. It must never decide anything of members or shares, and a peer
-must never cost a txn its time: what comes in is bounded a second, what is not ours is dropped at its tag,
+must never cost a request its time: what comes in is bounded a second, what is not ours is dropped at its tag,
 what goes out has no queue but the kernel's.
 """
 
--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -35,9 +35,7 @@
     terms: DutyTerms
     waits: Waits
     list_read: bool
-    allot: (
-        int  # microseconds that a grant of the records service's limit lasts; 0 where it is not dealt by need
-    )
+    allot: int  # microseconds that a grant of calls lasts; 0 where the limit is not dealt by need
 
 
 @dataclass(slots=True, frozen=True)
