Call a member isolated that hears nobody, in place of 'holds its tongue'

Run: tests/test_sim.py -k place 1 passed; tests/test_peers.py -k "stood or suspic or prob or defects" passed.

--- a/limeridge/peers/probing.py
+++ b/limeridge/peers/probing.py
@@ -9,7 +9,7 @@
 (Dadgar, Phillips, Currey 2017): the round is stretched by what speaks for our own slowness, a suspicion is
 shorter the more members share it, and a suspect is told first of what it is suspected. Our departures:
 some of those who hear of a suspect probe it next; and an instance that stood still, or that hears nobody at
-all, holds its tongue. It neither suspects nor holds dead until somebody has answered it since.
+all, counts as isolated. It neither suspects nor holds dead until somebody has answered it since.
 """
 
 from __future__ import annotations
@@ -137,7 +137,7 @@
             acts += self._end_round()
             acts += self._begin_round(now)
         for name, suspicion in list(self.suspicions.items()):
-            if now >= suspicion.due() and not self.holds_tongue(now):
+            if now >= suspicion.due() and not self.is_isolated(now):
                 claim = self.members.get(name)
                 del self.suspicions[name]
                 if claim is not None and claim.state is State.SUSPECT:
@@ -150,7 +150,7 @@
         current = self.round
         if current is not None and current.waits:
             times.append(current.ask_at)
-        # A suspicion that is due while we hold our tongue is looked at with each round.
+        # A suspicion that is due while we are isolated is looked at with each round.
         times += [due for each in self.suspicions.values() if (due := each.due()) > now]
         return max(now + 1, min(times))
 
@@ -165,9 +165,10 @@
         for suspicion in self.suspicions.values():
             suspicion.begun += late
 
-    def holds_tongue(self, now: int) -> bool:
-        """Alone, or back from a stand-still, we are the more likely one to be at fault. Alone for as long
-        as the longest suspicion with all doubt of ourselves, there is nobody left to spare."""
+    def is_isolated(self, now: int) -> bool:
+        """Whether nobody is to be held dead just now. Alone, or back from a pause, we are the more likely one
+        to be at fault. Alone for as long as the longest suspicion with all doubt of ourselves, there is
+        nobody left to spare."""
         alone = now - max(self.heard_at, self.back_at)
         most = 2 * self.span()[1] + self.pace.doubt * self.pace.interval
         if self.silent_until_heard:
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -665,7 +665,7 @@
         "who does not answer is never suspected",
     ),
     _m(
-        "tongue-loose",
+        "isolated-holds-dead",
         PROBING,
         "        alone = now - max(self.heard_at, self.back_at)\n",
         "        return False\n        alone = now - max(self.heard_at, self.back_at)\n",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -192,7 +192,7 @@
     assert "m2" not in probed.detector.suspicions
 
 
-def test_one_that_stood_still_or_hears_nobody_holds_its_tongue() -> None:
+def test_one_that_stood_still_or_hears_nobody_holds_nobody_dead() -> None:
     probed = Probed()
     probed.go(3 * SECOND)
     probed.take(Claim("m2", Life(1, 1), 0, State.SUSPECT))
