Call the parts that membership carries along delegates, as the field does, in place of guests

Guest, Guests, DutyGuest, Link.duty_guest and Peer.invite are Delegate, Delegates, DutyDelegate, duty_delegate and Peer.attach; peers/guests.py and duty/guest.py are delegates.py and delegate.py. The wire's kind stays "duty".

--- a/limeridge/duty/guest.py
+++ b/limeridge/duty/delegate.py
@@ -1,4 +1,4 @@
-"""Duties as a guest of membership: bodies to bytes and back, events into lines of the log.
+"""Duties as a delegate of membership: bodies to bytes and back, events into lines of the log.
 
 It owns nothing of its own. It must never judge.
 """
@@ -12,7 +12,7 @@
 from limeridge.peers.outbox import Event
 
 
-class DutyGuest:
+class DutyDelegate:
     """Duties, and dealing by need where it is on, as a part that members carry."""
 
     kind = "duty"
--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -29,7 +29,7 @@
 from limeridge.duty.allot import Terms as AllotTerms
 from limeridge.duty.allotting import DUTY as ALLOT
 from limeridge.duty.allotting import Allotting
-from limeridge.duty.guest import DutyGuest
+from limeridge.duty.delegate import DutyDelegate
 from limeridge.duty.member import Declared, Duties
 from limeridge.peers.gate import Gate
 from limeridge.peers.members import Address, Claim
@@ -262,7 +262,7 @@
         self.peer = Peer(own, peers.seeds, peers.habits, terms, chance, clock(), linger, seeker)
         self.listing = Listing(self) if peers.from_list else None
         self.gate = Gate(self.share, clock, linger)
-        self.duty_guest: DutyGuest | None = None
+        self.duty_delegate: DutyDelegate | None = None
         self.duties = self._duties(peers, chance)
         self.counts: Counter[str] = Counter()
         self.kept: deque[dict[str, object]] = deque(maxlen=EVENTS_KEPT)
@@ -310,8 +310,8 @@
             self.peer.deal_by(allotting.share)
         if told.list_read:
             self.peer.discovery.reads_list = lambda at: duties.holder(name, at) in ("", own.name)
-        self.duty_guest = DutyGuest(duties, allotting)
-        self.peer.invite(self.duty_guest, now)
+        self.duty_delegate = DutyDelegate(duties, allotting)
+        self.peer.attach(self.duty_delegate, now)
         return duties
 
     # ---- what the instance sees
@@ -491,11 +491,11 @@
     def hand_over(self, words: list[str]) -> dict[str, object]:
         """`release `, duty; or `move `, duty, member: parted by tabs, as duties have blanks in their
         names."""
-        if self.duty_guest is None or len(words) not in (2, 3):
-            return {"error": "this member has no duties" if self.duty_guest is None else "expected a duty"}
+        if self.duty_delegate is None or len(words) not in (2, 3):
+            return {"error": "this member has no duties" if self.duty_delegate is None else "expected a duty"}
         now = self.clock()
-        trouble = self.duty_guest.release(words[1], words[2] if len(words) == 3 else "", now)
-        self.peer.carry(self.duty_guest.kind, now)
+        trouble = self.duty_delegate.release(words[1], words[2] if len(words) == 3 else "", now)
+        self.peer.carry(self.duty_delegate.kind, now)
         self._turn()
         return {"error": trouble} if trouble else {"done": words[1]}
 
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -13,9 +13,9 @@
 
 from msgspec.structs import replace
 
+from limeridge.peers.delegates import Delegate, Delegates
 from limeridge.peers.discovery import Discovery
 from limeridge.peers.dissemination import Dissemination
-from limeridge.peers.guests import Guest, Guests
 from limeridge.peers.habits import Habits
 from limeridge.peers.members import Address, Claim, Life, Members, State
 from limeridge.peers.messages import Ack, Ask, Message, Nack, Offer, Ping, Renew, Support, Table, Word
@@ -31,7 +31,7 @@
 from limeridge.peers.table_exchange import TableExchange
 from limeridge.peers.updates import Updates
 
-__all__ = ["Address", "Event", "Guest", "Habits", "Peer", "Send", "own_claim"]
+__all__ = ["Address", "Delegate", "Event", "Habits", "Peer", "Send", "own_claim"]
 
 FRESH_ROUNDS = 4  # that a sign of a member counts
 BACK_ROUNDS = 10  # that a member counts as back from being gone
@@ -57,7 +57,7 @@
         in which no call may begin; `seeker`: where members are found by service discovery too."""
         interval = habits.pace.interval
         self.habits, self.terms, self.chance = habits, terms, chance
-        self.unix = 0  # Unix time in microseconds, as whoever drives it last told, for the guests
+        self.unix = 0  # Unix time in microseconds, as whoever drives it last told, for the delegates
         self.outbox = Outbox()
         self.members = Members(own)
         self.detector = Detector(self.members, chance, habits.pace, now)
@@ -75,7 +75,7 @@
         self.shares: ShareExchange | None = None
         if terms is not None and self.voter is not None:
             self.shares = ShareExchange(members, terms, self.voter, self.tables, outbox, now, quiet)
-        self.guests = Guests(members, outbox)
+        self.delegates = Delegates(members, outbox)
         self.observer = Observer(members, detector, reach, self.shares, outbox, now, interval // LOOKS)
 
     # ---- what is held
@@ -124,7 +124,7 @@
         times += [self.detector.next_at, self.tables.next_at, self.discovery.next_at()]
         if self.shares is not None:
             times.append(self.shares.next_at)
-        return min([*times, *self.guests.wake_at.values()])
+        return min([*times, *self.delegates.wake_at.values()])
 
     def wake(self, now: int) -> None:
         """To be called at `next_at` or soon after; earlier does no harm."""
@@ -137,14 +137,14 @@
         self.relays.expire(now)
         for claim in self.members.forget(now, self.habits.remember):
             self._forget(claim.name)
-        self.guests.wake(self.unix, now)
+        self.delegates.wake(self.unix, now)
         self.observer.wake(now)
 
     def leave(self, now: int) -> None:
         """Told before a drain: to as many as a claim is told, at once, so that no round need pass."""
         if self.leaving:
             return
-        self.guests.leave(now)
+        self.delegates.leave(now)
         self.updates.changed(self.members.restate(replace(self.own, state=State.LEFT), now), now)
         others = sorted(self.members.others(State.ALIVE, State.SUSPECT), key=lambda claim: claim.name)
         most = self.members.tell_most()
@@ -168,7 +168,7 @@
         if isinstance(message, Table):
             return self._heard_table(message, now)
         if isinstance(message, Word):
-            self.guests.heard(message, self.unix, now)
+            self.delegates.heard(message, self.unix, now)
         elif isinstance(message, Renew | Support | Offer):
             self._heard_of_shares(message, now)
         else:
@@ -215,18 +215,18 @@
             self.shares.offered(View(epoch, frozenset(keys)))
         return self.tables.whole(answer=False) if table.answer else None
 
-    # ---- guests
+    # ---- delegates
 
-    def invite(self, guest: Guest, now: int) -> None:
-        """Carries `guest` from now on."""
-        self.guests.invite(guest, now)
+    def attach(self, delegate: Delegate, now: int) -> None:
+        """Carries `delegate` from now on."""
+        self.delegates.attach(delegate, now)
 
     def carry(self, kind: str, now: int) -> None:
-        """Sends what the guest of that kind has to say after something was asked of it from outside.
+        """Sends what the delegate of that kind has to say after something was asked of it from outside.
 
-        Raises KeyError where there is no such guest.
+        Raises KeyError where there is no such delegate.
         """
-        self.guests.carry(kind, now)
+        self.delegates.carry(kind, now)
 
     # ---- shares
 
--- a/limeridge/sim/duties.py
+++ b/limeridge/sim/duties.py
@@ -16,8 +16,8 @@
 from limeridge.duty.allot import Taker
 from limeridge.duty.allotting import DUTY, Allotting
 from limeridge.duty.ballots import NONE, Terms, Token
+from limeridge.duty.delegate import DutyDelegate
 from limeridge.duty.electorate import Electorate
-from limeridge.duty.guest import DutyGuest
 from limeridge.duty.member import Declared, Duties
 from limeridge.duty.seek import Waits
 from limeridge.sim import gossip
@@ -82,7 +82,7 @@
         self.voters = min(voters, setting.members)
         self.resources = {CHECKED: Resource(True), OPEN: Resource(False)}
         self.told = Told()
-        self.guests: dict[Process, DutyGuest] = {}
+        self.delegates: dict[Process, DutyDelegate] = {}
         self.granted: list[Token] = []
         self.tokens: dict[Token, str] = {}
         self.held_at = -1
@@ -109,30 +109,30 @@
                 self.allot_terms, duties, Taker(self.allot_terms), need=lambda: self.setting.terms.limit
             )
             process.peer.deal_by(allotting.share)
-        guest = self.guests[process] = DutyGuest(duties, allotting)
-        process.peer.invite(guest, process.clock())
-        self.after(int(chance.uniform(0, 50) * MS), partial(self.work, process, guest, chance))
+        delegate = self.delegates[process] = DutyDelegate(duties, allotting)
+        process.peer.attach(delegate, process.clock())
+        self.after(int(chance.uniform(0, 50) * MS), partial(self.work, process, delegate, chance))
         return process
 
     def has_doubles(self) -> bool:
         return any(each.kind == "double" for each in self.setting.troubles)
 
-    def work(self, process: Process, guest: DutyGuest, chance: random.Random) -> None:
+    def work(self, process: Process, delegate: DutyDelegate, chance: random.Random) -> None:
         """Looks, and acts a moment later; a pause may come between the two."""
         if not process.alive:
             return
 
         def act() -> None:
             for duty in DECLARED:
-                token = guest.duties.may(duty, process.clock())
+                token = delegate.duties.may(duty, process.clock())
                 if token is not None:
-                    arrives = partial(self.arrived, process, guest, duty, token, self.now)
+                    arrives = partial(self.arrived, process, delegate, duty, token, self.now)
                     self.after(int(chance.uniform(*WAY)), arrives)
 
         process.do(act)
-        self.after(int(chance.uniform(*ACT_EVERY) * MS), partial(self.work, process, guest, chance))
+        self.after(int(chance.uniform(*ACT_EVERY) * MS), partial(self.work, process, delegate, chance))
 
-    def arrived(self, process: Process, guest: DutyGuest, duty: str, token: Token, looked: int) -> None:
+    def arrived(self, process: Process, delegate: DutyDelegate, duty: str, token: Token, looked: int) -> None:
         """The act goes out as soon as its process may, which is when it is no longer paused."""
 
         def go() -> None:
@@ -145,7 +145,7 @@
                 if not late and not self.forgets:
                     told = f"{process.name} acted under {token.number}, {highest.number} was there"
                     self.broke("stale", told)
-                guest.duties.refused(duty, highest, process.clock())
+                delegate.duties.refused(duty, highest, process.clock())
             elif not resource.checks:
                 if late:  # it stood still between look and act: no lease prevents that, and it is counted
                     resource.acts.pop()
@@ -172,7 +172,9 @@
     def look_at_duties(self) -> None:
         there = self.processes()
         for duty in DECLARED:
-            holders = [each for each in there if self.guests[each].duties.tenures[duty].holds(each.clock())]
+            holders = [
+                each for each in there if self.delegates[each].duties.tenures[duty].holds(each.clock())
+            ]
             if len(holders) > 1:
                 told = " and ".join(each.name for each in holders)
                 self.broke("two-hold", f"{told} hold {duty} at one time")
@@ -185,7 +187,7 @@
             quiet
             and self.told.regained < 0
             and all(
-                any(self.guests[each].duties.tenures[duty].holds(each.clock()) for each in there)
+                any(self.delegates[each].duties.tenures[duty].holds(each.clock()) for each in there)
                 for duty in DECLARED
             )
         ):
@@ -193,7 +195,7 @@
         self.settled = self.settled and self.told.regained >= 0
 
     def note_grant(self, duty: str, process: Process) -> None:
-        token = self.guests[process].duties.tenures[duty].token
+        token = self.delegates[process].duties.tenures[duty].token
         if duty != CHECKED or (self.granted and token == self.granted[-1]):
             return
         if token.name != process.name or self.tokens.setdefault(token, process.name) != process.name:
--- a/limeridge/sim/outage.py
+++ b/limeridge/sim/outage.py
@@ -12,8 +12,8 @@
 from functools import partial
 
 from limeridge.duty.ballots import Terms
+from limeridge.duty.delegate import DutyDelegate
 from limeridge.duty.electorate import Electorate
-from limeridge.duty.guest import DutyGuest
 from limeridge.duty.member import Declared, Duties
 from limeridge.duty.probe import Outlook, Pace, State
 from limeridge.duty.seek import Waits
@@ -57,7 +57,7 @@
             own.name, own.life.nonce, Electorate(1, voters), declared, Waits(), chance, process.clock()
         )
         if self.duty:
-            process.peer.invite(DutyGuest(duties), process.clock())
+            process.peer.attach(DutyDelegate(duties), process.clock())
         self.after(
             int(chance.uniform(0, EVERY)) + 2 * SECOND, partial(self.call, process, duties, outlook, chance)
         )
@@ -78,7 +78,7 @@
             duties.notes[DUTY] = outlook.note()
             if before != outlook.note():
                 duties.seekers[DUTY].renewed_at = 0  # a change is told at once
-                process.peer.guests.wake_at["duty"] = now
+                process.peer.delegates.wake_at["duty"] = now
         # Without the duty each tries as its callers ask: that is how it is today.
         if not self.duty or outlook.may(holds, bool(holder) and not holds, 0, SHARE, now):
             self.tries[self.now // SECOND] += 1
