--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from limeridge.sim.plan import Plan, Product
+from limeridge.sim.plan import LINGER, Plan, Product
 from limeridge.sim.reactor import Closing
 from limeridge.sim.timeline import SECOND
 from limeridge.sim.wires import (
@@ -631,7 +631,7 @@
         self.judged["call-wait"] += 1
         if not out.replied and over > self.slack and self.resumed < out.begun and not self.paused():
             raise Broken("call-wait", out.case.ask.ref, f"given up {over / MS:.0f} ms later than it told")
-        end = out.end if out.replied else self.now + 100 * MS * ended.by_us
+        end = out.end if out.replied else self.now + LINGER * ended.by_us
         self.past.append((out.begun, end))
 
     def _judge_calls(self) -> None:
--- a/limeridge/sim/plan.py
+++ b/limeridge/sim/plan.py
@@ -21,6 +21,12 @@
 from limeridge.sim.timeline import SECOND, Ties
 
 MS = 1_000
+LINGER = 100 * MS  # that a call left behind stays in the records service's hands
+PROTOCOL_KINDS = {
+    "free": "inquiry-like",
+    "guarded": "referenced",
+    "single_shot": "once-only",
+}  # by the settings' words
 
 
 class Kind(Enum):
@@ -167,7 +173,7 @@
     settle: int
     floor_share: float
     voters: int = 0  # the first so many; all where 0
-    linger: int = 100 * MS  # that a call left behind is counted for
+    linger: int = LINGER  # that a call left behind is counted for
 
 
 @dataclass(slots=True, frozen=True)
@@ -231,7 +237,7 @@
                     "classSkipWorth": [p.skip for p in self.products],
                     "callsOut": self.calls_out,
                     "callsOver": self.calls_over,
-                    "linger": 100 * MS,
+                    "linger": LINGER,
                     "memoryKb": self.memory_kb,
                     "runFactor": self.run_factor,
                     "kbPerKey": 10.0,
@@ -392,7 +398,7 @@
         settle=chance.choice((50, 150)) * MS,
         floor_share=chance.choice((0.4, 0.6)),
         voters=chance.choice((0, 0, 3)) if instances > 3 else 0,
-        linger=longest if unseen else 100 * MS,
+        linger=longest if unseen else LINGER,
     )
 
 
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-import base64
 import gc
 import random
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from itertools import combinations
 from typing import Any
@@ -23,17 +22,20 @@
 
 from limeridge.config import read
 from limeridge.net.log import Log
-from limeridge.net.service import PART, Instance
+from limeridge.net.service import Instance
+from limeridge.sim.bad_callers import BadCallers
 from limeridge.sim.links import Links
 from limeridge.sim.oracles import Broken, Oracles
 from limeridge.sim.plan import (
     FAR,
     LEDGER_IP,
+    LINGER,
     MS,
     NODE_LIST_IP,
     PEER_PORT,
     PEERS,
     PROBE_IP,
+    PROTOCOL_KINDS,
     RUDE_IP,
     RUDE_KINDS,
     Ask,
@@ -48,8 +50,7 @@
 )
 from limeridge.sim.reactor import Network, Reactor, Socket
 from limeridge.sim.timeline import BEGIN, SECOND, Life, Timeline
-from limeridge.sim.wires import Asked, Farewell, LineClosing, Passed, Recorder, SenderEnded
-from limeridge.standins.bad_callers import ConnectOnce, KeyCopier, LateSender, Moment
+from limeridge.sim.wires import Passed, Recorder
 from limeridge.standins.callers import Habit, Rude, RudeWay, Stub, Want
 from limeridge.standins.kernel import Kernel
 from limeridge.standins.ledger import Ledger
@@ -57,10 +58,6 @@
 
 UNIX = 1_764_576_000 * SECOND  # Unix time at virtual time 0
 RECENT = 400  # events kept for a report
-KEYED_KEPT = 12  # requests of an instance whose keys a bad caller may copy
-COPY_WITHIN = 60 * MS  # that one fault's copies are spread over
-CONNECT_WITHIN = 40 * MS  # that one fault's late senders connect within
-LATE_SILENT = 0.2  # share of late senders that say nothing before
 TICK_MOST = 20_000  # steps on one tick
 LOOK = 5 * MS  # between two looks for what is overdue
 KERNEL_PORTS = 7300, 7301
@@ -72,8 +69,6 @@
 END_WAIT = 4 * SECOND
 REPORTED = 3 * SECOND  # within which an instance that reports is on the list, whatever gets lost
 STEPS_MOST = 2_000_000
-KINDS = {"free": "inquiry-like", "guarded": "referenced", "single_shot": "once-only"}
-LINGER = 100 * MS  # that a call left behind stays in the records service's hands
 SIGHUP, SIGTERM = 1, 15
 
 
@@ -125,8 +120,6 @@
         self.link: Any = None  # to the other members
         self.drift = world.chance(f"drift {number}").uniform(-DRIFT, DRIFT)
         self.calls_before: list[tuple[int, int]] = []  # begins and ends of calls of lives that are over
-        self.keyed: deque[Asked] = deque(maxlen=KEYED_KEPT)  # lately read by this life, with a key
-        self.late_senders: dict[int, LateSender] = {}  # by the serial of this instance's own end
         self.armed: list[list[Any]] = []  # faults that wait for an event: fault, how many are still to come
 
     # ---- lives
@@ -135,8 +128,7 @@
         world, plan, now = self.world, self.world.plan, self.world.timeline.now
         self.lives += 1
         self.left = False
-        self.keyed.clear()
-        self.late_senders.clear()
+        world.bad_callers.born(self)
         kernel_life = self.kernel_life = Life(f"k{self.number}", kernel_ip(self.number), self.lives, now)
         self.kernel_reactor = Reactor(world.network, kernel_life, world.broken_standin)
         boot = plan.boot / SECOND
@@ -302,10 +294,7 @@
             self.oracles.see(self.world.timeline.now, event)
         except Broken as broken:
             self.broke(broken)
-        if isinstance(event, Asked) and event.key:
-            self.keyed.append(event)
-        elif isinstance(event, Farewell | LineClosing) and event.line in self.late_senders:
-            self.world.send_late(self, self.late_senders[event.line], event)
+        self.world.bad_callers.seen(self, event)
 
     def logged(self, line: bytes) -> int:
         if self.world.record is not None:
@@ -356,7 +345,7 @@
         self.came: list[tuple[Kind, int, int]] = []
         self.broken: tuple[Broken, str, int] | None = None
         self.trouble = self.chance("trouble")
-        self.bad_callers = self.chance("bad callers")
+        self.bad_callers = BadCallers(self, self.chance("bad callers"))
         self.last_heal = BEGIN + plan.quiet
         self.quiet = False
         self.ending: list[Callable[[], None]] = []  # what heals a fault that still lasts
@@ -495,7 +484,7 @@
         return Want(
             number,
             product.name,
-            KINDS[product.kind],
+            PROTOCOL_KINDS[product.kind],
             f"c{ask.customer}" if ask.customer >= 0 else "",
             ask.key,
             ask.size_kb,
@@ -565,10 +554,7 @@
         life = machine.lives
         kill_at = self.timeline.now + self.plan.stop
         self.last_heal = max(self.last_heal, kill_at + self.plan.boot)
-        senders = [each for each in machine.late_senders.values() if each.moment is Moment.PARTING]
-        if senders:
-            parts_after = max(self.plan.stop - int(PART * SECOND), self.plan.stop // 2)
-            self.timeline.at(self.timeline.now + parts_after, None, "parting", self.send_unread, senders)
+        self.bad_callers.leaving(machine)
 
         def kill() -> None:
             if machine.lives == life:
@@ -721,95 +707,18 @@
         return None
 
     def _key_copy(self, fault: Fault) -> Any:
-        machine, chance = self.alive(fault), self.bad_callers
-        if machine is None or not machine.keyed:
+        machine = self.alive(fault)
+        if machine is None or not self.bad_callers.copy_keys(machine, max(1, int(fault.amount))):
             return False
-        for _ in range(max(1, int(fault.amount))):
-            wait = chance.randrange(COPY_WITHIN) / SECOND
-            self.rude_reactor.callLater(wait, self.copy_key, machine, machine.lives)
         return None
 
-    def copy_key(self, machine: Machine, life: int) -> None:
-        """Sends one key that the instance has read lately with another request, then its owner's repeat."""
-        if self.quiet or machine.lives != life or not machine.keyed:
-            return
-        chance, asked = self.bad_callers, self.bad_callers.choice(machine.keyed)
-        product = next(each for each in self.plan.products if each.name == asked.product)
-        owned = Want(
-            -1,
-            asked.product,
-            KINDS[product.kind],
-            asked.customer,
-            asked.key,
-            asked.size_kb,
-            product.expiry // MS,
-            product.expiry // MS,
-            base64.b64decode(asked.doc),
-        )
-        others = [f"c{n}" for n in range(self.plan.customers) if f"c{n}" != asked.customer]
-        changes = chance.choice(("body", "tenant", "both")) if others else "body"
-        copied = replace(
-            owned,
-            doc=owned.doc if changes == "tenant" else owned.doc + b" copied=1",
-            customer=owned.customer if changes == "body" else chance.choice(others),
-        )
-        copier = KeyCopier(owned, copied, self.rude_reactor, chance, machine.unix, self.ended)
-        self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, ConnectOnce(copier), timeout=1.0)
-
     def _send_at_close(self, fault: Fault) -> Any:
-        machine, chance = self.alive(fault), self.bad_callers
+        machine = self.alive(fault)
         if machine is None:
             return False
-        for _ in range(max(1, int(fault.amount))):
-            wait = chance.randrange(CONNECT_WITHIN) / SECOND
-            self.rude_reactor.callLater(wait, self.rest_until_closed, machine, machine.lives)
+        self.bad_callers.rest(machine, max(1, int(fault.amount)))
         return None
 
-    def rest_until_closed(self, machine: Machine, life: int) -> None:
-        """Connects a caller that rests, and sends as its connection is ended."""
-        if self.quiet or machine.lives != life:
-            return
-        product, chance = self.plan.products[0], self.bad_callers
-        expiry = product.expiry // MS
-        doc = b"work=2000 calls=0 op=0 n=-1"
-        want = Want(-1, product.name, KINDS[product.kind], "", "", 2.0, expiry, expiry, doc)
-
-        def stands(sender: LateSender) -> None:
-            line = sender.transport.other
-            if machine.lives == life and line.reactor is machine.reactor:
-                machine.late_senders[line.serial] = sender
-
-        def ended(sender: LateSender, reset: bool) -> None:
-            if machine.lives == life and machine.instance is not None:
-                line = sender.transport.other.serial
-                machine.see(
-                    SenderEnded(
-                        line, sender.late, sender.silent, sender.late_warned, sender.late_answered, reset
-                    )
-                )
-
-        usual = (self.rude_reactor, chance, machine.unix, self.ended)
-        moment, silent = chance.choice(tuple(Moment)), chance.random() < LATE_SILENT
-        sender = LateSender(want, moment, silent, stands, ended, *usual)
-        self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, ConnectOnce(sender), timeout=1.0)
-
-    def send_unread(self, senders: list[LateSender]) -> None:
-        """What they send is in the instance's buffer at once, unread."""
-        for sender in senders:
-            socket = sender.transport
-            sender.send_late(lambda data, to=socket: to.send_ahead(data) or to.write(data))  # type: ignore[misc]
-
-    def send_late(self, machine: Machine, sender: LateSender, event: Farewell | LineClosing) -> None:
-        """The instance says farewell or ends a late sender's connection: what is sent now crosses that."""
-        moment = sender.moment
-        if isinstance(event, Farewell):
-            if moment is Moment.FAREWELL:
-                self.rude_reactor.callLater(0, sender.send_late)
-        elif moment is Moment.UNREAD:
-            self.send_unread([sender])
-        elif moment is Moment.IN_THE_AIR:
-            self.rude_reactor.callLater(0, sender.send_late)
-
     def _clock_step(self, fault: Fault) -> Any:
         machine = self.machine(fault)
         machine.offset += int(fault.amount * SECOND)
