--- a/limeridge/configuration/names.py
+++ b/limeridge/configuration/names.py
@@ -23,7 +23,6 @@
 SHARD_MOST = 1 << TAG_BITS  # slots; the tag alone leads to a slot
 NUMBER_BITS = 20
 NUMBER_MASK = (1 << NUMBER_BITS) - 1
-ENCODING = ("utf-8", "surrogatepass")  # any text of Python's has a name
 NUMBERS_MOST = NUMBER_MASK  # a slot holds the number and one
 
 
@@ -55,11 +54,11 @@
 
 
 def encoded_name(name: str) -> bytes:
-    return name.encode(*ENCODING)
+    return name.encode("utf-8", "surrogatepass")
 
 
 def decoded_name(name: bytes) -> str:
-    return name.decode(*ENCODING)
+    return name.decode("utf-8", "surrogatepass")
 
 
 class NameTable:
@@ -102,7 +101,8 @@
                 page, place = self.pages[number >> PAGE_BITS], number & PAGE_MASK
                 ends = page.ends
                 # NamePage.get in place: this is on the path of every request
-                if page.blob[ends[place - 1] if place else 0 : ends[place]] == name.encode(*ENCODING):
+                held = page.blob[ends[place - 1] if place else 0 : ends[place]]
+                if held == name.encode("utf-8", "surrogatepass"):
                     return number
             slot = (slot + 1) & mask
         return None
