--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -64,13 +64,17 @@
 
 
 CALLERS, KERNEL, LEDGER = "net/callers.py", "net/kernel.py", "net/ledger.py"
-SHARES, MEMBERS, PROBING, PEER, GATE = (
+SHARES, MEMBERS, PROBING, GATE = (
     "peers/shares.py",
     "peers/members.py",
     "peers/probing.py",
-    "peers/peer.py",
     "peers/gate.py",
 )
+DISCOVERY, DISSEMINATION, SHARE_EXCHANGE = (
+    "peers/discovery.py",
+    "peers/dissemination.py",
+    "peers/share_exchange.py",
+)
 SERVICE, FACADE, CONFIG, BRAIN, NODES = (
     "net/service.py",
     "facade.py",
@@ -439,14 +443,14 @@
     _m(
         "missing-let-through",
         CONFIG,
-        "                if needed:\n",
-        "                if needed and not needed:\n",
+        "    elif needed:\n",
+        "    elif needed and not needed:\n",
         "a missing setting is not refused",
     ),
     _m(
         "half-file",
         CONFIG,
-        '    except orjson.JSONDecodeError as trouble:\n        raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None\n',
+        '    except BadDocument as trouble:\n        raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None\n',
         "    except ZeroDivisionError:\n        raise\n",
         "a file that is no JSON is not refused",
     ),
@@ -537,7 +541,7 @@
     _m(
         "skip-any",
         BRAIN,
-        "if kind.skip_value > 0 and (\n                txn.left_out < txn.approach or stuck",
+        "if txn.terms.skip_value > 0 and (\n                txn.left_out < txn.approach or stuck",
         "if (\n                txn.left_out < txn.approach or stuck",
         "calls are left out that may not be",
     ),
@@ -683,29 +687,29 @@
     ),
     _m(
         "dead-not-tried",
-        PEER,
-        "                self._reach_out(now)\n",
+        DISCOVERY,
+        "            self._reach_out()\n",
         "",
         "those held dead are never tried again",
     ),
     _m(
         "accusals-kept",
-        PEER,
+        DISSEMINATION,
         "            if self.accusals[accusal] >= self.members.tell_most():\n",
         "            if False:\n",
         "accusations crowd all other news out",
     ),
     _m(
         "overfull",
-        PEER,
-        "room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.own.texts",
+        DISSEMINATION,
+        "room = DATAGRAM_MOST - HEAD_BYTES - CLAIM_BYTES - self.members.own.texts",
         "room = 2 * DATAGRAM_MOST",
         "datagrams over their bound",
     ),
     _m(
         "behind-not-pulled",
-        PEER,
-        "if self.voter is not None and epoch > self.voter.view.epoch:",
+        SHARE_EXCHANGE,
+        "if epoch > self.voter.view.epoch:",
         "if False:",
         "a voter that is behind stays so",
     ),
@@ -731,6 +735,78 @@
         "        if share is not None and self.in_hand() + 1 > share:",
         "a share once had is kept",
     ),
+    _m(
+        "key-body-unchecked",
+        FACADE,
+        "(entry.intake.doc, entry.intake.customer) != (intake.doc, intake.customer)",
+        "entry.intake.customer != intake.customer",
+        "a key that comes with another body is taken for a repeat",
+    ),
+    _m(
+        "key-tenant-unchecked",
+        FACADE,
+        "(entry.intake.doc, entry.intake.customer) != (intake.doc, intake.customer)",
+        "entry.intake.doc != intake.doc",
+        "a key that comes from another tenant is taken for a repeat",
+    ),
+    _m(
+        "key-refused-to-owner",
+        FACADE,
+        "        if self._misused(intake, now):\n",
+        "        if self._misused(intake, now) or any(each.result for each in self._tries(intake, now)):\n"
+        "            self.log.event('bad-message', 'key that was answered')\n",
+        "a repeat whose result is kept is taken for a misuse",
+    ),
+    _m(
+        "close-whole",
+        CALLERS,
+        "        self.transport.loseWriteConnection()\n        self.transport.resumeProducing()\n",
+        "        self.transport.loseConnection()\n",
+        "a connection is closed over what lies unread",
+    ),
+    _m(
+        "close-cut",
+        CALLERS,
+        "        self.transport.loseWriteConnection()\n        self.transport.resumeProducing()\n",
+        "        self.transport.abortConnection()\n",
+        "a connection is cut in place of being closed",
+    ),
+    _m(
+        "dropped-runs",
+        CALLERS,
+        "        if self.code or self.spoiled:\n            self.discard(len(data))\n            return\n",
+        "",
+        "what is read behind our end of the stream is taken, and runs",
+    ),
+    _m(
+        "rest-cut-at-once",
+        CALLERS,
+        "            longest.say_farewell()\n            self.parting[longest] = self.clock.seconds()\n",
+        '            longest.close("displaced", abort=True)\n            self.drop(longest)\n',
+        "one that rests is cut for a newcomer's sake",
+    ),
+    _m(
+        "parting-unasked",
+        SERVICE,
+        "        self.facade.tick(self.facade.now(), None)  # what this turn of the loop read is answered first\n",
+        "",
+        "what the last turn read is not answered before the streams end",
+    ),
+    _m(
+        "restart-uncharged",
+        BRAIN,
+        "        if self.cold:  # against a restart's second share",
+        "        if False:  # against a restart's second share",
+        "the calls of the life before are not counted after a restart",
+    ),
+    _m(
+        "key-lost-to-copier",
+        FACADE,
+        "        if self._misused(intake, now):\n",
+        "        if self._misused(intake, now):\n"
+        "            self.keys.pop((intake.product, intake.key), None)\n",
+        "a misused key is forgotten, so that its owner's repeat is not known as one",
+    ),
 )
 
 
--- a/limeridge/sim/oracles.py
+++ b/limeridge/sim/oracles.py
@@ -10,10 +10,11 @@
 import base64
 import heapq
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from limeridge.sim.plan import Plan, Product
+from limeridge.sim.reactor import Closing
 from limeridge.sim.timeline import SECOND
 from limeridge.sim.wires import (
     Answered,
@@ -22,9 +23,12 @@
     CallMade,
     Checked,
     Command,
+    Dropped,
     Farewell,
     Garbled,
+    LineClosing,
     LineEnded,
+    LineMade,
     LinkEnded,
     LinkMade,
     Notice,
@@ -32,6 +36,7 @@
     Passed,
     Replied,
     Revoked,
+    SenderEnded,
 )
 
 MS = 1_000
@@ -47,8 +52,12 @@
     "call-twice": "no call is repeated that may have had one",
     "unsaid": "a txn that ran is not told as one that never did",
     "result": "a result is its own txn's, unchanged",
+    "key-copied": "under a key that stands for another body or tenant nothing is had but an error",
+    "key-kept": "the repeat of a keyed request that ended well gets its result",
+    "crossed": "a request that crosses its connection's end is answered, or never runs and sees no reset",
     "kept-back": "what ended well is answered with its result",
     "call-limit": "calls in hand within the own share",
+    "call-limit-lives": "calls in hand of all lives of an instance together within its share",
     "memory": "memory as it is booked",
     "crowd": "runs on the cores within what is survived",
     "unchanged": "bodies and replies reach the other end as they came",
@@ -92,6 +101,7 @@
     gone: bool = False
     extra: int = 0  # answers after the caller was gone, of which one does no harm
     sched: int = -1
+    sched_turn: int = 0
     links: dict[int, str] = field(default_factory=dict)  # the last command for it on each link
     end: str = ""
     ended: int = -1  # the turn in which its end was read
@@ -103,6 +113,20 @@
     reply: bytes | None = None  # a good one that came for this call
     call_proved: bool = True  # no call for this cursor can have had an effect
     answered_as_run: bool = False
+    turn: int = 0  # in which it was read
+
+    def same_request(self, other: Case) -> bool:
+        """Whether both are of one body and one tenant, as repeats under a key are."""
+        return (self.ask.doc, self.ask.customer) == (other.ask.doc, other.ask.customer)
+
+    def holds_key_at(self, other: Case) -> bool:
+        """Whether it certainly stood for its key when `other` was read: it was running or had run, within
+        its window."""
+        return (
+            self.end != "void"
+            and self.sched_turn < other.turn
+            and other.read < self.landed + self.product.window - 5 * MS
+        )
 
 
 @dataclass(slots=True, eq=False)
@@ -130,6 +154,7 @@
         judged: Counter[str],
         kernel_up: int,
         cold: bool,
+        earlier: Sequence[tuple[int, int]] = (),  # begins and ends of the calls of lives before this one
     ) -> None:
         self.plan, self.born, self.offset, self.paused, self.note = plan, born, offset, paused, note
         self.judged = judged
@@ -156,7 +181,12 @@
         self.memory_check = born
         self.calls: dict[int, Out] = {}
         self.past: deque[tuple[int, int]] = deque()
+        self.earlier = tuple(earlier)
         self.closed = False
+        self.lines: dict[int, bool] = {}  # open ones of callers: whether it sent a request or a check
+        self.closing: set[int] = set()  # lines whose end the instance asked for
+        self.cut_for_room: set[int] = set()
+        self.dropped: set[str] = set()  # requests read behind the instance's own end of the stream
 
     # ---- the world's own events
 
@@ -231,9 +261,18 @@
             case Revoked():
                 self._revoked(event)
             case Checked():
+                self.lines[event.line] = True
                 self.checks[event.line, event.id] = now
             case LineEnded():
                 self._line_ended(event)
+            case LineMade():
+                self.lines[event.line] = False
+            case LineClosing():
+                self._line_closing(event)
+            case Dropped():
+                self.dropped.add(event.ref)
+            case SenderEnded():
+                self._sender_ended(event)
             case LinkMade():
                 self.note("link", "")
             case LinkEnded():
@@ -247,6 +286,7 @@
 
     def _asked(self, ask: Asked) -> None:
         now, product = self.now, self.products[ask.product]
+        self.lines[ask.line] = True
         if ask.ref in self.by_ref or (ask.line, ask.id) in self.cases:
             self.odd[ask.line] = True  # an id or ref used again: no usual caller
             return
@@ -258,7 +298,7 @@
         due = min(now + patience, landed + patience + MS)
         if now - self.stepped < 3 * SECOND:  # its age can't be known
             due = now + patience
-        case = Case(ask, product, now, min(landed, now), max(due, now))
+        case = Case(ask, product, now, min(landed, now), max(due, now), turn=self.turn)
         self.cases[ask.line, ask.id] = self.by_ref[ask.ref] = case
         if self.plan.memory_kb:
             self._judge_memory()
@@ -291,6 +331,7 @@
         self.note(answer.kind, ref)
         if answer.come_back < 0 or answer.come_back > 1_000:
             raise Broken("form", ref, f"told to come back after {answer.come_back} ms")
+        self._judge_key(case, answer.kind)
         if answer.kind == "settled":
             self._judge_result(case, answer.doc)
         else:
@@ -307,11 +348,32 @@
         if case.end == "ok" and doc == case.result:
             return
         if case.ask.key:
-            same = self.docs.get((case.ask.product, case.ask.key), ())
-            if any(other.result == doc for other in same):
+            kept = self.docs.get((case.ask.product, case.ask.key), ())
+            if any(other.result == doc and other.same_request(case) for other in kept):
                 return
+            if any(other.result == doc for other in kept):
+                raise Broken("key-copied", case.ask.ref, "settled with the result of another body or tenant")
         raise Broken("result", case.ask.ref, f"settled with {doc[:60]!r}, which no run of it gave")
 
+    def _judge_key(self, case: Case, kind: str) -> None:
+        """What a key is worth to its own request and to others; by those that certainly held it when this
+        one was read."""
+        if not case.ask.key or case.gone or self.now - self.stepped < 3 * SECOND:
+            return
+        holders = [
+            other
+            for other in self.keys.get((case.ask.product, case.ask.key), ())
+            if other is not case and other.holds_key_at(case)
+        ]
+        if any(not other.same_request(case) for other in holders):
+            self.judged["key-copied"] += 1
+            if kind != "voided":
+                raise Broken("key-copied", case.ask.ref, f"{kind} under a key that another request holds")
+        elif self.left is None and any(other.end == "ok" and other.ended < case.turn for other in holders):
+            self.judged["key-kept"] += 1
+            if kind != "settled":
+                raise Broken("key-kept", case.ask.ref, f"{kind}, and the result of its key was kept")
+
     def _revoked(self, revoked: Revoked) -> None:
         case = self.cases.get((revoked.line, revoked.id))
         if case is None and revoked.ref in self.by_ref:
@@ -324,6 +386,7 @@
     def _line_ended(self, ended: LineEnded) -> None:
         odd = self.odd.pop(ended.line, False)
         self.open_on.pop(ended.line, None)
+        self.lines.pop(ended.line, None)
         for where in [where for where in self.checks if where[0] == ended.line]:
             del self.checks[where]
         for where in [where for where in self.cases if where[0] == ended.line]:
@@ -336,67 +399,94 @@
             case.gone = True
             self.note("gone", case.ask.ref)
 
+    def _line_closing(self, closing: LineClosing) -> None:
+        self.closing.add(closing.line)
+        silent = sum(not spoke for spoke in self.lines.values())
+        most = self.plan.sockets // 2  # the least that the table of callers holds
+        if closing.how is Closing.ABORT and (len(self.lines) >= most or silent >= most // 4):
+            self.cut_for_room.add(closing.line)
+
+    def _sender_ended(self, ended: SenderEnded) -> None:
+        self.judged["crossed"] += 1
+        if ended.answered:
+            return
+        if ended.ref in self.by_ref and ended.line in self.closing:
+            raise Broken("crossed", ended.ref, "read, and its connection ended without an answer")
+        # To make room one may be cut that never said anything whole, or that rests on after a farewell.
+        if ended.reset and not (ended.line in self.cut_for_room and (ended.warned or ended.silent)):
+            raise Broken("crossed", ended.ref, "its connection was reset over the unread request")
+
     # ---- runs
 
     def _command(self, command: Command) -> None:
         event = command.event
         if event == "OPEN":
-            self.judged["cursor"] += 1
-            self.note("open", "")
-            self.link = command.link  # the one that is read from now on
-            if command.cursor != self.cursor:
-                raise Broken(
-                    "cursor", "", f"opened at {command.cursor}, the last notice read was {self.cursor}"
-                )
+            self._opened(command)
             return
         if event in ("SYSINFO", "POST"):
             if command.ticket == "fence":
                 self.note("fence", "")
             return
         case = self.by_ref.get(command.handle)
+        if case is None and command.handle in self.dropped:
+            raise Broken("crossed", command.handle, f"{event}, though its connection could bear no answer")
         if case is None:
             raise Broken("form", command.handle, f"{event} for a txn that never came")
-        ref, again = (
-            command.handle,
-            any(
-                said == f"{event} {command.arg} {command.cursor}"
-                for link, said in case.links.items()
-                if link != command.link
-            ),
-        )
-        if case.links.get(command.link) == f"{event} {command.arg} {command.cursor}":
-            raise Broken("twice", ref, f"{event} sent twice on one link")
-        case.links[command.link] = f"{event} {command.arg} {command.cursor}"
-        self.note(event.lower(), ref)
+        again = self._said(case, command)
+        self.note(event.lower(), command.handle)
         if event in ("IODONE", "NOIO") and case.end and case.ended == self.turn:
             return  # its end was read in this very turn, and may stand behind what the command came from
         if event == "SCHED":
             self._sched(case, command)
         elif event == "IODONE":
-            self.judged["reply"] += 1
-            if not again and (not case.cursor or case.reply is None):
-                raise Broken("reply", ref, "a reply was handed on, and none came for this call")
-            if case.reply is not None and base64.b64decode(command.arg) != case.reply:
-                raise Broken(
-                    "unchanged", ref, "a reply was handed on changed, or to another call than its own"
-                )
-            self._go_on(case)
+            self._handed_on(case, command, again)
         elif event == "NOIO":
-            self.judged["left-out"] += 1
-            if case.product.skip <= 0:
-                raise Broken("left-out", ref, "this product's calls may not be left out")
-            # In place of a reply that may have been lost with the link it may come later too: it names its
-            # call.
-            again = again or (
-                command.cursor == case.asked_at and any(link != command.link for link in case.links)
-            )
-            if not again and command.cursor != case.cursor:
-                raise Broken("left-out", ref, f"cursor {command.cursor}, the run waits at {case.cursor}")
-            if case.reply is not None and not case.answer and not case.gone:
-                raise Broken("call-kept", ref, "a call was left out whose good reply had come")
-            self._go_on(case)
+            self._left_out(case, command, again)
         else:
-            raise Broken("form", ref, f"no command: {event}")
+            raise Broken("form", command.handle, f"no command: {event}")
+
+    def _opened(self, command: Command) -> None:
+        """A link to the kernel was made, and tells up to where notices were read."""
+        self.judged["cursor"] += 1
+        self.note("open", "")
+        self.link = command.link  # the one that is read from now on
+        if command.cursor != self.cursor:
+            raise Broken("cursor", "", f"opened at {command.cursor}, the last notice read was {self.cursor}")
+
+    def _said(self, case: Case, command: Command) -> bool:
+        """Keeps what was said of a run on this link; True where it was said on an earlier one already."""
+        words = f"{command.event} {command.arg} {command.cursor}"
+        again = any(said == words for link, said in case.links.items() if link != command.link)
+        if case.links.get(command.link) == words:
+            raise Broken("twice", command.handle, f"{command.event} sent twice on one link")
+        case.links[command.link] = words
+        return again
+
+    def _handed_on(self, case: Case, command: Command, again: bool) -> None:
+        """A call's reply was handed on to its run."""
+        ref = command.handle
+        self.judged["reply"] += 1
+        if not again and (not case.cursor or case.reply is None):
+            raise Broken("reply", ref, "a reply was handed on, and none came for this call")
+        if case.reply is not None and base64.b64decode(command.arg) != case.reply:
+            raise Broken("unchanged", ref, "a reply was handed on changed, or to another call than its own")
+        self._go_on(case)
+
+    def _left_out(self, case: Case, command: Command, again: bool) -> None:
+        """A run was told to go on without its call."""
+        ref = command.handle
+        self.judged["left-out"] += 1
+        if case.product.skip <= 0:
+            raise Broken("left-out", ref, "this product's calls may not be left out")
+        # In place of a reply that may have been lost with the link it may come later too: it names its call.
+        again = again or (
+            command.cursor == case.asked_at and any(link != command.link for link in case.links)
+        )
+        if not again and command.cursor != case.cursor:
+            raise Broken("left-out", ref, f"cursor {command.cursor}, the run waits at {case.cursor}")
+        if case.reply is not None and not case.answer and not case.gone:
+            raise Broken("call-kept", ref, "a call was left out whose good reply had come")
+        self._go_on(case)
 
     def _sched(self, case: Case, command: Command) -> None:
         ref = case.ask.ref
@@ -405,7 +495,7 @@
             raise Broken("unchanged", ref, "its product or body was changed on its way to the kernel")
         if case.sched >= 0:
             return  # sent again on a new link
-        case.sched = self.now
+        case.sched, case.sched_turn = self.now, self.turn
         self._judge_effects(case)
         if self.left is not None:
             self.judged["grace"] += 1
@@ -545,20 +635,30 @@
         self.past.append((out.begun, end))
 
     def _judge_calls(self) -> None:
-        """Time in hand within the window past, lingering counted: the mean must stay within the own share."""
-        self.judged["call-limit"] += 1
+        """Time in hand within the window past, lingering counted: its mean must stay within the own share, of
+        this life and of all lives together."""
         start = self.now - self.plan.calls_over
         while self.past and self.past[0][1] <= start:
             self.past.popleft()
-        spans = [
-            *self.past,
-            *((out.begun, out.end if out.replied else self.now) for out in self.calls.values()),
-        ]
+        own = self._calls_taken(self.spans(self.now))
+        self._judge_share("call-limit", own, "calls in hand in the mean")
+        if self.earlier:
+            all_lives = own + self._calls_taken(self.earlier)
+            self._judge_share("call-limit-lives", all_lives, "calls in hand in the mean over all lives")
+
+    def spans(self, now: int, linger: int = 0) -> list[tuple[int, int]]:
+        """Begin and end of each call of this life, as far as the window asks; those that are out end now and
+        stay in hand for `linger` microseconds more."""
+        out = [(each.begun, each.end if each.replied else now + linger) for each in self.calls.values()]
+        return [*self.past, *out]
+
+    def _calls_taken(self, spans: Iterable[tuple[int, int]]) -> float:
+        """Calls in hand in the mean over the window past."""
+        start = self.now - self.plan.calls_over
         area = sum(max(0, min(end, self.now) - max(begin, start)) for begin, end in spans)
-        if area > self.plan.calls_out * self.plan.calls_over:
-            raise Broken(
-                "call-limit",
-                "",
-                f"{area / self.plan.calls_over:.2f} calls in hand in the mean, "
-                f"{self.plan.calls_out:.2f} are the share",
-            )
+        return area / self.plan.calls_over
+
+    def _judge_share(self, rule: str, taken: float, what: str) -> None:
+        self.judged[rule] += 1
+        if taken > self.plan.calls_out:
+            raise Broken(rule, "", f"{taken:.2f} {what}, {self.plan.calls_out:.2f} are the share")
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import base64
 import gc
 import random
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import combinations
 from typing import Any
@@ -20,9 +21,9 @@
 from twisted.logger import globalLogPublisher
 from twisted.python.failure import Failure
 
-from limeridge.config import read
+from limeridge.config import read, reading
 from limeridge.net.log import Log
-from limeridge.net.service import Instance
+from limeridge.net.service import PART, Instance
 from limeridge.sim.links import Links
 from limeridge.sim.oracles import Broken, Oracles
 from limeridge.sim.plan import (
@@ -47,7 +48,8 @@
 )
 from limeridge.sim.reactor import Network, Reactor, Socket
 from limeridge.sim.timeline import BEGIN, SECOND, Life, Timeline
-from limeridge.sim.wires import Passed, Recorder
+from limeridge.sim.wires import Asked, Farewell, LineClosing, Passed, Recorder, SenderEnded
+from limeridge.standins.bad_callers import ConnectOnce, KeyCopier, LateSender, Moment
 from limeridge.standins.callers import Habit, Rude, RudeWay, Stub, Want
 from limeridge.standins.kernel import Kernel
 from limeridge.standins.ledger import Ledger
@@ -55,6 +57,10 @@
 
 UNIX = 1_764_576_000 * SECOND  # Unix time at virtual time 0
 RECENT = 400  # events kept for a report
+KEYED_KEPT = 12  # requests of an instance whose keys a bad caller may copy
+COPY_WITHIN = 60 * MS  # that one fault's copies are spread over
+CONNECT_WITHIN = 40 * MS  # that one fault's late senders connect within
+LATE_SILENT = 0.2  # share of late senders that say nothing before
 TICK_MOST = 20_000  # steps on one tick
 LOOK = 5 * MS  # between two looks for what is overdue
 KERNEL_PORTS = 7300, 7301
@@ -67,6 +73,7 @@
 REPORTED = 3 * SECOND  # within which an instance that reports is on the list, whatever gets lost
 STEPS_MOST = 2_000_000
 KINDS = {"free": "inquiry-like", "guarded": "referenced", "single_shot": "once-only"}
+LINGER = 100 * MS  # that a call left behind stays in the records service's hands
 SIGHUP, SIGTERM = 1, 15
 
 
@@ -117,6 +124,9 @@
         self.left = False
         self.link: Any = None  # to the other members
         self.drift = world.chance(f"drift {number}").uniform(-DRIFT, DRIFT)
+        self.calls_before: list[tuple[int, int]] = []  # begins and ends of calls of lives that are over
+        self.keyed: deque[Asked] = deque(maxlen=KEYED_KEPT)  # lately read by this life, with a key
+        self.late_senders: dict[int, LateSender] = {}  # by the serial of this instance's own end
         self.armed: list[list[Any]] = []  # faults that wait for an event: fault, how many are still to come
 
     # ---- lives
@@ -125,6 +135,8 @@
         world, plan, now = self.world, self.world.plan, self.world.timeline.now
         self.lives += 1
         self.left = False
+        self.keyed.clear()
+        self.late_senders.clear()
         kernel_life = self.kernel_life = Life(f"k{self.number}", kernel_ip(self.number), self.lives, now)
         self.kernel_reactor = Reactor(world.network, kernel_life, world.broken_standin)
         boot = plan.boot / SECOND
@@ -157,6 +169,7 @@
             world.judged,
             now + plan.boot,
             cold,
+            self.calls_before,
         )
         tap = Recorder(
             frozenset(product.name for product in plan.products),
@@ -168,10 +181,11 @@
         self.reactor.stopped = self.exited
         log = Log(self.name, clock=self.reactor.seconds, unix=self.unix, write=self.logged)
 
-        def reread() -> Any:
-            return read("config", lambda _: self.file)
+        def reread(before: Any, now: int) -> Any:
+            return reading("config", lambda _: [self.file], before, now)
 
-        self.instance = Instance(reread(), self.reactor, log, reread, self.unix)
+        setup = read("config", lambda _: [self.file])
+        self.instance = Instance(setup, self.reactor, log, reread, self.unix)
         if plan.fleet is not None:
             self.link = self.linked(plan.fleet, log)
             self.instance.join(self.link)
@@ -213,7 +227,7 @@
         )
         nonce = world.chance(f"nonce {self.number} {self.lives}").getrandbits(56)
         return Link(
-            read("config", lambda _: self.file),
+            read("config", lambda _: [self.file]),
             peers,
             self.reactor,
             log,
@@ -260,6 +274,9 @@
     def die(self, in_order: bool) -> None:
         if self.instance is not None:
             self.oracles.closed = True
+            now = self.world.timeline.now
+            spans = [*self.calls_before, *self.oracles.spans(now, linger=LINGER)]
+            self.calls_before = [span for span in spans if span[1] > now - self.world.plan.calls_over]
             self.instance = None
             self.reactor.shut(in_order)
             self.kernel_reactor.shut(in_order)
@@ -286,6 +303,10 @@
             self.oracles.see(self.world.timeline.now, event)
         except Broken as broken:
             self.broke(broken)
+        if isinstance(event, Asked) and event.key:
+            self.keyed.append(event)
+        elif isinstance(event, Farewell | LineClosing) and event.line in self.late_senders:
+            self.world.send_late(self, self.late_senders[event.line], event)
 
     def logged(self, line: bytes) -> int:
         if self.world.record is not None:
@@ -336,6 +357,7 @@
         self.came: list[tuple[Kind, int, int]] = []
         self.broken: tuple[Broken, str, int] | None = None
         self.trouble = self.chance("trouble")
+        self.bad_callers = self.chance("bad callers")
         self.last_heal = BEGIN + plan.quiet
         self.quiet = False
         self.ending: list[Callable[[], None]] = []  # what heals a fault that still lasts
@@ -544,6 +566,10 @@
         life = machine.lives
         kill_at = self.timeline.now + self.plan.stop
         self.last_heal = max(self.last_heal, kill_at + self.plan.boot)
+        senders = [each for each in machine.late_senders.values() if each.moment is Moment.PARTING]
+        if senders:
+            parts_after = max(self.plan.stop - int(PART * SECOND), self.plan.stop // 2)
+            self.timeline.at(self.timeline.now + parts_after, None, "parting", self.send_unread, senders)
 
         def kill() -> None:
             if machine.lives == life:
@@ -695,6 +721,96 @@
             self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, RudeWay(rude), timeout=1.0)
         return None
 
+    def _key_copy(self, fault: Fault) -> Any:
+        machine, chance = self.alive(fault), self.bad_callers
+        if machine is None or not machine.keyed:
+            return False
+        for _ in range(max(1, int(fault.amount))):
+            wait = chance.randrange(COPY_WITHIN) / SECOND
+            self.rude_reactor.callLater(wait, self.copy_key, machine, machine.lives)
+        return None
+
+    def copy_key(self, machine: Machine, life: int) -> None:
+        """Sends one key that the instance has read lately with another request, then its owner's repeat."""
+        if self.quiet or machine.lives != life or not machine.keyed:
+            return
+        chance, asked = self.bad_callers, self.bad_callers.choice(machine.keyed)
+        product = next(each for each in self.plan.products if each.name == asked.product)
+        owned = Want(
+            -1,
+            asked.product,
+            KINDS[product.kind],
+            asked.customer,
+            asked.key,
+            asked.size_kb,
+            product.expiry // MS,
+            product.expiry // MS,
+            base64.b64decode(asked.doc),
+        )
+        others = [f"c{n}" for n in range(self.plan.customers) if f"c{n}" != asked.customer]
+        changes = chance.choice(("body", "tenant", "both")) if others else "body"
+        copied = replace(
+            owned,
+            doc=owned.doc if changes == "tenant" else owned.doc + b" copied=1",
+            customer=owned.customer if changes == "body" else chance.choice(others),
+        )
+        copier = KeyCopier(owned, copied, self.rude_reactor, chance, machine.unix, self.ended)
+        self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, ConnectOnce(copier), timeout=1.0)
+
+    def _send_at_close(self, fault: Fault) -> Any:
+        machine, chance = self.alive(fault), self.bad_callers
+        if machine is None:
+            return False
+        for _ in range(max(1, int(fault.amount))):
+            wait = chance.randrange(CONNECT_WITHIN) / SECOND
+            self.rude_reactor.callLater(wait, self.rest_until_closed, machine, machine.lives)
+        return None
+
+    def rest_until_closed(self, machine: Machine, life: int) -> None:
+        """Connects a caller that rests, and sends as its connection is ended."""
+        if self.quiet or machine.lives != life:
+            return
+        product, chance = self.plan.products[0], self.bad_callers
+        expiry = product.expiry // MS
+        doc = b"work=2000 calls=0 op=0 n=-1"
+        want = Want(-1, product.name, KINDS[product.kind], "", "", 2.0, expiry, expiry, doc)
+
+        def stands(sender: LateSender) -> None:
+            line = sender.transport.other
+            if machine.lives == life and line.reactor is machine.reactor:
+                machine.late_senders[line.serial] = sender
+
+        def ended(sender: LateSender, reset: bool) -> None:
+            if machine.lives == life and machine.instance is not None:
+                line = sender.transport.other.serial
+                machine.see(
+                    SenderEnded(
+                        line, sender.late, sender.silent, sender.late_warned, sender.late_answered, reset
+                    )
+                )
+
+        usual = (self.rude_reactor, chance, machine.unix, self.ended)
+        moment, silent = chance.choice(tuple(Moment)), chance.random() < LATE_SILENT
+        sender = LateSender(want, moment, silent, stands, ended, *usual)
+        self.rude_reactor.connectTCP(instance_ip(machine.number), 8443, ConnectOnce(sender), timeout=1.0)
+
+    def send_unread(self, senders: list[LateSender]) -> None:
+        """What they send is in the instance's buffer at once, unread."""
+        for sender in senders:
+            socket = sender.transport
+            sender.send_late(lambda data, to=socket: to.send_ahead(data) or to.write(data))  # type: ignore[misc]
+
+    def send_late(self, machine: Machine, sender: LateSender, event: Farewell | LineClosing) -> None:
+        """The instance says farewell or ends a late sender's connection: what is sent now crosses that."""
+        moment = sender.moment
+        if isinstance(event, Farewell):
+            if moment is Moment.FAREWELL:
+                self.rude_reactor.callLater(0, sender.send_late)
+        elif moment is Moment.UNREAD:
+            self.send_unread([sender])
+        elif moment is Moment.IN_THE_AIR:
+            self.rude_reactor.callLater(0, sender.send_late)
+
     def _clock_step(self, fault: Fault) -> Any:
         machine = self.machine(fault)
         machine.offset += int(fault.amount * SECOND)
