--- a/limeridge/configuration/chain.py
+++ b/limeridge/configuration/chain.py
@@ -25,7 +25,7 @@
     text_bytes,
 )
 from limeridge.configuration.checks import Fault, Refused, check_fit, check_form
-from limeridge.configuration.tables import DIGEST_BYTES, Tables, TablesEditor
+from limeridge.configuration.tables import DIGEST_BYTES, CantApply, Tables, TablesEditor
 
 HASH_BYTES = 16
 NO_HASH = bytes(HASH_BYTES)
@@ -258,9 +258,13 @@
                 raise BrokenLink(f"revision {number} does not follow revision {self.head.number}")
             if entry.revision.token < self.head.token:
                 raise BrokenLink(f"revision {number} is under an older token than the one before it")
-            appended = self._append(entry.revision)
-            if appended != entry:
+            try:
+                tables = replayed(self.tables, [entry.revision])
+            except CantApply as fault:
+                raise BrokenLink(f"revision {number} does not fit: {fault}") from None
+            if tables.digest != entry.digest:
                 raise BrokenLink(f"revision {number} gives other tables here")
+            self._add(entry, tables)
 
     def commit(self, number: int) -> None:
         """A majority has all up to this revision. Raises NotInLog beyond the head; never goes back."""
@@ -294,7 +298,8 @@
         self.entry(number)
         if number == self.head.number:
             return self.tables
-        return replayed(self._base_tables, self._entries[: number - self.base.revision.number])
+        entries = self._entries[: number - self.base.revision.number]
+        return replayed(self._base_tables, [entry.revision for entry in entries])
 
     def compact(self, keep: int) -> None:
         """Forget all but the last `keep` committed entries; the base moves up to what was before them."""
@@ -306,14 +311,14 @@
         self.base, self._base_tables = base, tables
 
     def _append(self, revision: Revision) -> Entry:
-        tables = replayed_revision(self.tables, revision)
+        tables = replayed(self.tables, [revision])
         entry = entry_of(self.head.hash, revision, tables.digest)
-        self._entries.append(entry)
-        self.tables = tables
-        self._remember(entry)
+        self._add(entry, tables)
         return entry
 
-    def _remember(self, entry: Entry) -> None:
+    def _add(self, entry: Entry, tables: Tables) -> None:
+        self._entries.append(entry)
+        self.tables = tables
         draft = entry.revision.draft
         self._remembered[draft.change_id] = Remembered(
             entry.revision.number, entry.hash, fingerprint_of(draft), entry.revision.refused
@@ -333,15 +338,9 @@
         self.tables = tables
 
 
-def replayed(tables: Tables, entries: Iterable[Entry]) -> Tables:
-    """The tables after all entries, built once."""
-    editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
-    for entry in entries:
-        editor.apply(entry.revision.changes)
-    return editor.build()
-
-
-def replayed_revision(tables: Tables, revision: Revision) -> Tables:
+def replayed(tables: Tables, revisions: Iterable[Revision]) -> Tables:
+    """The tables after all revisions, built once. Raises CantApply."""
     editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
-    editor.apply(revision.changes)
+    for revision in revisions:
+        editor.apply(revision.changes)
     return editor.build()
--- a/limeridge/configuration/histories.py
+++ b/limeridge/configuration/histories.py
@@ -510,6 +510,7 @@
     def _snapshot(self, number: int, snapshot: Snapshot) -> None:
         subscriber = self.subscribers[number]
         decision = subscriber.hears_snapshot(snapshot.header, self.now)
+        self._decided(number, decision)
         if not isinstance(decision, Load):
             return
         loader = decision.loader
--- a/limeridge/configuration/subscriber.py
+++ b/limeridge/configuration/subscriber.py
@@ -15,7 +15,7 @@
 from random import Random
 
 from limeridge.configuration.chain import Entry, Head, Revision, hash_of
-from limeridge.configuration.snapshot import SnapshotHeader, SnapshotLoader
+from limeridge.configuration.snapshot import SnapshotFault, SnapshotHeader, SnapshotLoader
 from limeridge.configuration.tables import CantApply, Tables, TablesEditor
 
 
@@ -149,7 +149,7 @@
         return self._in_force(made)
 
     def hears_snapshot(self, header: SnapshotHeader, now: int) -> Decision:
-        """The beginning of a snapshot came. Raises SnapshotFault where its hash is wrong."""
+        """The beginning of a snapshot came."""
         if self._loader is not None:
             return Ignore(Why.LOADING)
         if self.head is not None:
@@ -157,7 +157,11 @@
                 return Ignore(Why.OLDER_CHAIN)
             if header.head.number <= self.head.number:
                 return Ignore(Why.OLD)
-        self._loader = SnapshotLoader(header, self.tables, now=now, retired_until=now + self._terms.retention)
+        retired_until = now + self._terms.retention
+        try:
+            self._loader = SnapshotLoader(header, self.tables, now=now, retired_until=retired_until)
+        except SnapshotFault:
+            return self._ask(AskSnapshot(Why.NOT_LOADED), now)
         self._load_until = now + self._terms.load
         return Load(self._loader)
 
--- a/tests/test_configuration_revisions.py
+++ b/tests/test_configuration_revisions.py
@@ -24,6 +24,7 @@
     Head,
     NotInLog,
     StaleToken,
+    entry_of,
     first_entry,
 )
 from limeridge.configuration.changes import (
@@ -278,6 +279,12 @@
     for each in altered:
         with pytest.raises(BrokenLink):
             other.replicate([each], FIRST)
+    wrong_tables = entry_of(entry.previous, entry.revision, entry.digest + 1)
+    removed = replace(entry.revision, draft=draft(RemoveTenant("missing")))
+    for each in (wrong_tables, entry_of(entry.previous, removed, entry.digest)):
+        with pytest.raises(BrokenLink):
+            other.replicate([each], FIRST)
+    assert other.head == chain.entry(1).head
     other.replicate([entry], FIRST)
     assert other.head == chain.head
 
@@ -436,6 +443,8 @@
     subscriber = Subscriber(Tables.empty(LIMITS), None, random.Random(1))
     assert subscriber.hears_deltas(entries(chain, 3, 4), 0) == AskSnapshot(Why.NOTHING_YET)
     snapshot = snapshot_of(chain.last, chain.tables)
+    unsound = replace(snapshot.header, entry=replace(snapshot.header.entry, hash=bytes(16)))
+    assert subscriber.hears_snapshot(unsound, 9_000_000) == AskSnapshot(Why.NOT_LOADED)
     decision = subscriber.hears_snapshot(snapshot.header, 1)
     assert isinstance(decision, Load)
     assert subscriber.hears_deltas(entries(chain, 3, 4), 2) == Ignore(Why.LOADING)
