--- a/limeridge/configuration/chain.py
+++ b/limeridge/configuration/chain.py
@@ -16,9 +16,16 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from limeridge.configuration.changes import Draft, draft_bytes, fingerprint_of, packed, text_bytes
-from limeridge.configuration.checks import check_draft
-from limeridge.configuration.tables import DIGEST_BYTES, Tables, TablesEditor
+from limeridge.configuration.changes import (
+    Change,
+    Draft,
+    draft_bytes,
+    fingerprint_of,
+    packed,
+    text_bytes,
+)
+from limeridge.configuration.checks import Fault, Refused, check_fit, check_form
+from limeridge.configuration.tables import DIGEST_BYTES, CantApply, Tables, TablesEditor
 
 HASH_BYTES = 16
 NO_HASH = bytes(HASH_BYTES)
@@ -73,12 +80,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Revision:
-    """One step of the chain. Without changes where a publisher took over."""
+    """One step of the chain. Its draft has no changes where a publisher took over."""
 
     number: int
     token: FencingToken
     time: int  # Unix time in microseconds as the publisher's clock had it; it may step back
     draft: Draft
+    refused: bool = False  # did not fit the tables before it
+
+    @property
+    def changes(self) -> tuple[Change, ...]:
+        """What it does to the tables."""
+        return () if self.refused else self.draft.changes
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,11 +110,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Receipt:
-    """The answer to an author; `again` where the change id had been accepted before."""
+    """The answer to an author, good once the revision is committed.
+
+    `again` where the change id had been decided on before. `refused` where the draft does not fit the tables;
+    `faults` then says why, the first time.
+    """
 
     number: int
     hash: bytes
-    again: bool
+    again: bool = False
+    refused: bool = False
+    faults: tuple[Fault, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -111,6 +130,7 @@
     number: int
     hash: bytes
     fingerprint: bytes
+    refused: bool
 
 
 def hash_of(previous: bytes, revision: Revision, digest: int) -> bytes:
@@ -122,6 +142,7 @@
         text_bytes(token.holder),
         b"%d" % token.nonce,
         b"%d" % revision.time,
+        b"%d" % revision.refused,
         draft_bytes(revision.draft),
         digest.to_bytes(DIGEST_BYTES, "big"),
     )
@@ -183,17 +204,27 @@
             return None
         if before.fingerprint != fingerprint_of(draft):
             raise ChangeIdReused(f"the change id {draft.change_id!r} stands for other changes")
-        return Receipt(before.number, before.hash, again=True)
+        return Receipt(before.number, before.hash, again=True, refused=before.refused)
 
     def accept(self, draft: Draft, token: FencingToken, time: int) -> Receipt:
-        """Append a draft; it counts once it is committed. Raises ChainFault, Refused."""
+        """Append a draft, or that it is refused; either counts once it is committed.
+
+        Raises ChainFault, and Refused for a draft that no tables could take. What does not fit these tables
+        is appended too, for the same asking may be on its way to another holder, or come late to this one.
+        """
         if token != self.head.token or token < self.promised:
             raise StaleToken(f"revision {self.head.number} was written under another token")
         if (receipt := self.receipt(draft)) is not None:
             return receipt
-        check_draft(self.tables, draft)
-        entry = self._append(Revision(self.head.number + 1, token, time, draft))
-        return Receipt(entry.revision.number, entry.hash, again=False)
+        check_form(draft)
+        faults: tuple[Fault, ...] = ()
+        try:
+            check_fit(self.tables, draft)
+        except Refused as refused:
+            faults = refused.faults
+        revision = Revision(self.head.number + 1, token, time, draft, refused=bool(faults))
+        entry = self._append(revision)
+        return Receipt(revision.number, entry.hash, refused=revision.refused, faults=faults)
 
     def take_over(self, token: FencingToken, time: int) -> Entry:
         """Append the revision without changes that a new holder begins with. Raises StaleToken."""
@@ -227,9 +258,13 @@
                 raise BrokenLink(f"revision {number} does not follow revision {self.head.number}")
             if entry.revision.token < self.head.token:
                 raise BrokenLink(f"revision {number} is under an older token than the one before it")
-            appended = self._append(entry.revision)
-            if appended != entry:
+            try:
+                tables = replayed(self.tables, [entry.revision])
+            except CantApply as fault:
+                raise BrokenLink(f"revision {number} does not fit: {fault}") from None
+            if tables.digest != entry.digest:
                 raise BrokenLink(f"revision {number} gives other tables here")
+            self._add(entry, tables)
 
     def commit(self, number: int) -> None:
         """A majority has all up to this revision. Raises NotInLog beyond the head; never goes back."""
@@ -245,12 +280,15 @@
         return self._entries[index - 1] if index else self.base
 
     def after(self, head: Head, most: int) -> tuple[Entry, ...] | None:
-        """Committed entries behind a subscriber's head, at most so many; None where only a snapshot helps."""
+        """Committed entries behind a subscriber's head, at most so many; None where only a snapshot helps.
+
+        Empty where the subscriber has all that is committed as far as this publisher knows.
+        """
         try:
             known = self.entry(head.number)
         except NotInLog:
             return None
-        if known.hash != head.hash or head.number > self.committed:
+        if known.hash != head.hash:
             return None
         first = head.number - self.base.revision.number
         return tuple(self._entries[first : min(first + most, self.committed - self.base.revision.number)])
@@ -260,7 +298,8 @@
         self.entry(number)
         if number == self.head.number:
             return self.tables
-        return replayed(self._base_tables, self._entries[: number - self.base.revision.number])
+        entries = self._entries[: number - self.base.revision.number]
+        return replayed(self._base_tables, [entry.revision for entry in entries])
 
     def compact(self, keep: int) -> None:
         """Forget all but the last `keep` committed entries; the base moves up to what was before them."""
@@ -272,17 +311,17 @@
         self.base, self._base_tables = base, tables
 
     def _append(self, revision: Revision) -> Entry:
-        tables = replayed_revision(self.tables, revision)
+        tables = replayed(self.tables, [revision])
         entry = entry_of(self.head.hash, revision, tables.digest)
-        self._entries.append(entry)
-        self.tables = tables
-        self._remember(entry)
+        self._add(entry, tables)
         return entry
 
-    def _remember(self, entry: Entry) -> None:
+    def _add(self, entry: Entry, tables: Tables) -> None:
+        self._entries.append(entry)
+        self.tables = tables
         draft = entry.revision.draft
         self._remembered[draft.change_id] = Remembered(
-            entry.revision.number, entry.hash, fingerprint_of(draft)
+            entry.revision.number, entry.hash, fingerprint_of(draft), entry.revision.refused
         )
         while len(self._remembered) > REMEMBERED_MOST:
             del self._remembered[next(iter(self._remembered))]
@@ -299,15 +338,9 @@
         self.tables = tables
 
 
-def replayed(tables: Tables, entries: Iterable[Entry]) -> Tables:
-    """The tables after all entries, built once."""
-    editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
-    for entry in entries:
-        editor.apply(entry.revision.draft.changes)
-    return editor.build()
-
-
-def replayed_revision(tables: Tables, revision: Revision) -> Tables:
+def replayed(tables: Tables, revisions: Iterable[Revision]) -> Tables:
+    """The tables after all revisions, built once. Raises CantApply."""
     editor = TablesEditor(tables, now=PUBLISHER_NOW, retired_until=PUBLISHER_RETIRED_UNTIL)
-    editor.apply(revision.draft.changes)
+    for revision in revisions:
+        editor.apply(revision.changes)
     return editor.build()
--- a/limeridge/duty/guest.py
+++ b/limeridge/duty/delegate.py
@@ -1,4 +1,4 @@
-"""Duties as a guest of membership: bodies to bytes and back, events into lines of the log.
+"""Duties as a delegate of membership: bodies to bytes and back, events into lines of the log.
 
 It owns nothing of its own. It must never judge.
 """
@@ -9,10 +9,12 @@
 from limeridge.duty.allotting import Allotting
 from limeridge.duty.member import Duties
 from limeridge.peers.members import Claim
-from limeridge.peers.peer import Event
+from limeridge.peers.outbox import Event
 
 
-class DutyGuest:
+class DutyDelegate:
+    """Duties, and dealing by need where it is on, as a part that members carry."""
+
     kind = "duty"
 
     def __init__(self, duties: Duties, allotting: Allotting | None = None) -> None:
@@ -22,18 +24,21 @@
         self.strange = 0  # bodies that could not be read
 
     def next_at(self, now: int) -> int:
+        """When it is to be woken next, microseconds."""
         times = [self.duties.next_at(now)]
         if self.allotting is not None and not self.duties.leaving:
             times.append(max(now + 1, self.allotting.next_ask))
         return min(times)
 
     def wake(self, present: tuple[str, ...], unix: int, now: int) -> None:
+        """Called at `next_at` or soon after; `present` are names, `unix` is Unix time in microseconds."""
         self.duties.wake(present, unix, now)
         if self.allotting is not None:
             self.allotting.wake(now)
         self._take()
 
     def heard(self, sender: Claim, body: bytes, unix: int, now: int) -> None:
+        """Takes what the same part of another member sent; what cannot be read is counted."""
         said = words.decode(body)
         if said is None:
             self.strange += 1
@@ -53,10 +58,12 @@
             self.allotting.heard_grant(said.seq, said.calls, said.to)
 
     def leave(self, now: int) -> None:
+        """Gives back all duties that are held here."""
         self.duties.leave(now)
         self._take()
 
     def release(self, duty: str, successor: str, now: int) -> str:
+        """Gives a duty back by hand, to `successor` where one is named; what was wrong, or empty."""
         trouble = self.duties.release(duty, successor, now)
         self._take()
         return trouble
--- a/limeridge/peers/members.py
+++ b/limeridge/peers/members.py
@@ -21,10 +21,12 @@
 
 from limeridge.peers.digest import digest_of
 
+Address = tuple[str, int]  # host and port
 TELL_FACTOR = 3  # a claim is told this many times the logarithm of the members (SWIM, section 4.1)
 
 
 def bytes_of(text: str) -> int:
+    """Length in UTF-8."""
     return len(text) if text.isascii() else len(text.encode())
 
 
@@ -63,6 +65,11 @@
         """Of one life: a restart under the same name is another holder of shares."""
         return f"{self.name}/{self.life.nonce:x}"
 
+    @property
+    def address(self) -> Address:
+        """Where the others reach it."""
+        return self.host, self.port
+
     @property
     def texts(self) -> int:
         """Bytes of them, for its size on the wire."""
@@ -75,6 +82,7 @@
         return self.life, (1 << 62) if left else self.incarnation, int(self.state)
 
     def overrules(self, other: Claim | None) -> bool:
+        """Whether it takes the place of `other`, a claim under the same name, or of none."""
         return other is None or self.rank > other.rank
 
 
@@ -187,12 +195,18 @@
 
     # ---- reading
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this member has told the others that it leaves: it never takes that back."""
+        return self.own.state is State.LEFT
+
     @property
     def digest(self) -> int:
         """64 bits over the whole table, whatever the order in which it came about."""
         return self._digest
 
     def get(self, name: str) -> Claim | None:
+        """What is held of a name, ourselves included; None where nothing is."""
         return self.table.get(name)
 
     def others(self, *states: State) -> Iterator[Claim]:
@@ -208,6 +222,7 @@
     # ---- telling
 
     def tell_most(self) -> int:
+        """How often a change is told by each member, with as many members as are held now."""
         return TELL_FACTOR * max(1, len(self.table).bit_length())
 
     def to_tell(self, room: int, size: int, first: Iterable[str] = ()) -> list[Claim]:
--- a/limeridge/peers/messages.py
+++ b/limeridge/peers/messages.py
@@ -23,6 +23,8 @@
 DATAGRAM_MOST = 1_200  # bytes; below what any way in use takes in one piece
 STREAM_MOST = 1 << 20  # bytes of one message over TCP
 TAG = 16
+CLAIM_BYTES = 52  # of a claim on the wire, its texts aside, at the most
+HEAD_BYTES = 128  # of a message's other fields, a name of 64 among them, and its tag
 
 
 class Accusal(Struct, frozen=True, array_like=True):
@@ -128,10 +130,12 @@
 
 
 def key_of(fleet: str, secret: bytes) -> bytes:
+    """The 32 bytes that datagrams and streams are tagged with, from the name of the fleet and its secret."""
     return blake2b(secret, key=fleet.encode()[:64], digest_size=32).digest()
 
 
 def encode(message: Message, key: bytes) -> bytes:
+    """The bytes of a message, its tag ahead."""
     body = _encoder.encode(message)
     return blake2b(body, key=key, digest_size=TAG).digest() + body
 
--- a/limeridge/scale/failures.py
+++ b/limeridge/scale/failures.py
@@ -9,8 +9,6 @@
 import math
 
 from limeridge.peers.members import TELL_FACTOR
-from limeridge.peers.messages import DATAGRAM_MOST
-from limeridge.peers.peer import CLAIM_BYTES, HEAD_BYTES
 from limeridge.peers.probing import Pace
 from limeridge.peers.shares import Terms
 from limeridge.scale import assumptions as take
@@ -18,6 +16,7 @@
 from limeridge.scale.evidence import Assumption, Evidence, Figure, assumed, stated
 from limeridge.scale.model import Failure
 from limeridge.scale.quantities import (
+    DAY,
     FAILURE,
     INSTANCE,
     Quantity,
@@ -31,7 +30,7 @@
 
 RACK = Quantity(40, INSTANCE)
 VOTERS = tuple("12345")  # as many as there are machines set aside in the users' target
-NEWS_BYTES = 20  # of a claim's names, address and zone
+CLAIMS_OF_A_DATAGRAM = Quantity(14)
 MEAN_ROUNDS = math.e / (math.e - 1)  # until a member is probed by one of all that probe in turn
 NEWS_A_SECOND = Quantity(3) / seconds(1)
 LIST_LAPSE = seconds(3)
@@ -43,8 +42,8 @@
 )
 NEWS = Assumption(
     "telling",
-    "three datagrams a second carry news, filled with claims of 72 bytes; each is told as often as the code "
-    "has it",
+    "three datagrams a second carry news, with 14 claims of 72 bytes in each; a claim is told as often as "
+    "the code has it",
 )
 RACK_SIZE = Assumption("rack", "a rack or switch has 40 instances behind it")
 LIST_STALE = Assumption(
@@ -85,9 +84,8 @@
 def news_time(target: Target, lives: Quantity) -> Figure:
     """How long the news of so many lives take up all room that datagrams have for news."""
     tellings = Quantity(TELL_FACTOR * int(target.instances.value).bit_length())
-    claims = Quantity((DATAGRAM_MOST - HEAD_BYTES) // (CLAIM_BYTES + NEWS_BYTES))
-    time = lives / ONE_INSTANCE * tellings / claims / NEWS_A_SECOND
-    return assumed(time, NEWS, f"{lives} x {tellings} / {claims} / ({NEWS_A_SECOND})")
+    time = lives / ONE_INSTANCE * tellings / CLAIMS_OF_A_DATAGRAM / NEWS_A_SECOND
+    return assumed(time, NEWS, f"{lives} x {tellings} / {CLAIMS_OF_A_DATAGRAM} / ({NEWS_A_SECOND})")
 
 
 # ---- events
@@ -126,7 +124,7 @@
         noticed_by="members of all zones, each by its own probes; callers by service discovery",
         noticed_after=known_to_all_after(target),
         costs=(
-            ("part of the fleet", part),
+            ("part of the fleet, and of requests until callers know", part),
             ("requests a second at each one left", stated(load)),
             ("news fill datagrams for", news_time(target, lost)),
             *spent(target, evidence, situation),
@@ -209,8 +207,10 @@
 
 
 def ratio_of(one: Quantity, other: Quantity) -> str:
+    """In percent."""
     return f"{100 * (one / other).number:.0f}%"
 
 
 def per_day(rate: Quantity) -> str:
-    return f"{rate.value * 86_400:,.0f}"
+    """How many there are in a day."""
+    return f"{(rate * DAY).value:,.0f}"
--- a/limeridge/scale/quantities.py
+++ b/limeridge/scale/quantities.py
@@ -135,10 +135,12 @@
 
 
 def of_bytes(number: float) -> Quantity:
+    """An amount of memory or of a message."""
     return Quantity(number, BYTE)
 
 
 def seconds(number: float) -> Quantity:
+    """A time."""
     return Quantity(number, SECOND)
 
 
@@ -148,10 +150,12 @@
 
 
 def bytes_per_second(number: float) -> Quantity:
+    """A rate of traffic."""
     return Quantity(number, BYTE / SECOND)
 
 
 def cores(number: float) -> Quantity:
+    """Processor seconds per second."""
     return Quantity(number, CORE)
 
 
@@ -162,6 +166,7 @@
 
 # ---- text
 
+_SELDOM = {each / SECOND for each in (CHANGE, REPLACEMENT, FAILURE)}  # told by the day
 _PREFIXES = ((1e12, "T"), (1e9, "G"), (1e6, "M"), (1e3, "K"))
 
 
@@ -175,6 +180,8 @@
         return _digits(quantity.value)
     if ("byte", 1) in quantity.unit.powers:
         return _prefixed(quantity)
+    if quantity.unit in _SELDOM and abs(quantity.value) < 1:
+        return f"{text(Quantity(quantity.value * DAY.value, quantity.unit * SECOND))}/day"
     return f"{_digits(quantity.value)} {_suffix(quantity.unit, quantity.value)}"
 
 
