--- a/limeridge/scale/configuration_sweep.py
+++ b/limeridge/scale/configuration_sweep.py
@@ -12,6 +12,7 @@
 import time
 from pathlib import Path
 
+from limeridge.scale import revision_costs
 from limeridge.scale.below import LOOPBACK, Below
 from limeridge.scale.collect import Collector, Cost
 from limeridge.scale.generator import Generator
@@ -79,6 +80,7 @@
             self._measure_reload(instance, "second reload")
             self._add_memory(instance, "after two reloads", Situation.CHANGE)
             self._add_bytes("peak resident memory", Situation.CHANGE, tenants, instance.memory().peak)
+        self._measure_revisions(tenants)
 
     def _start_seconds(self, instance: RealInstance, begun: float) -> float | None:
         """None where the rig's own timer came late since then."""
@@ -156,6 +158,18 @@
             self.collector.note(f"{what}: {outcome.refused + outcome.unanswered} health checks unanswered")
         return bool(outcome.through)
 
+    def _measure_revisions(self, tenants: int) -> None:
+        """Bytes in any case; seconds where the rig's own timer came in time."""
+        begun = time.monotonic()
+        costs = revision_costs.measured(tenants)
+        for cost, reading in revision_costs.bytes_of(costs):
+            self.collector.add(cost, tenants, reading)
+        if too_late(self.timer.since(begun)):
+            self.collector.note(f"machine too busy: left out the seconds of revisions with {tenants} tenants")
+            return
+        for cost, reading in revision_costs.seconds_of(costs):
+            self.collector.add(cost, tenants, reading)
+
     # ---- readings
 
     def _add_memory(self, instance: RealInstance, when: str, situation: Situation) -> None:
@@ -212,6 +226,8 @@
                 collector.add(Cost(name, Situation.CHANGE, Size.TENANTS, Unit.BYTES), tenants, size)
             instance.put_file()
             taken = instance.timed_reload(RELOADED_BY) is not None
+        for cost, reading in revision_costs.bytes_of(revision_costs.measured(tenants)):
+            collector.add(cost, tenants, reading)
         cost = Cost("reloads told in the log", Situation.CHANGE, Size.TENANTS, Unit.COUNT)
         collector.add(cost, tenants, int(taken))
         collector.check(taken, f"{tenants} tenants: the log tells no reload")
--- a/tests/test_scale_path.py
+++ b/tests/test_scale_path.py
@@ -226,6 +226,7 @@
     else:
         assert set(counts["reloads told in the log"]) == {1}
         assert counts["file"] == sorted(counts["file"]) and counts["file"][-1] > 40_000
+        assert max(counts["revision of one change, encoded"]) < 300
 
 
 def test_a_quick_sweep_fails_on_a_request_that_is_not_answered(monkeypatch: pytest.MonkeyPatch) -> None:
