--- a/limeridge/configuration/measure.py
+++ b/limeridge/configuration/measure.py
@@ -13,7 +13,7 @@
 import random
 import sys
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import asdict, dataclass
 
 from limeridge.configuration.chain import Chain, Entry, FencingToken, first_entry
@@ -21,7 +21,7 @@
 from limeridge.configuration.encoding import decode, encode, encode_entries
 from limeridge.configuration.samples import CLASSES, ROUTES, TENANTS, sample_tables, size_of
 from limeridge.configuration.snapshot import SnapshotHeader, SnapshotLoader, SnapshotPart, snapshot_of
-from limeridge.configuration.subscriber import Apply, Deltas, Subscriber
+from limeridge.configuration.subscriber import Deltas, Subscriber
 from limeridge.configuration.tables import Tables
 
 BATCH = 200
@@ -38,6 +38,7 @@
     encode: float
     decode: float
     apply: float  # at the subscriber, all of them
+    longest_step: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -80,17 +81,15 @@
     messages = [decode(frame) for frame in frames]
     decoded = time.thread_time()
     subscriber = Subscriber(tables, start, random.Random(1))
-    for message in messages:
-        if not isinstance(message, Deltas) or not isinstance(subscriber.hears_deltas(message, 1), Apply):
-            raise RuntimeError("the measured deltas were not applied")
-    applied = time.thread_time()
+    steps = [step for message in messages for step in _apply_steps(subscriber, message)]
     return ChangeCost(
         changes,
         sum(map(len, frames)),
         accept=accepted - began,
         encode=encoded - accepted,
         decode=decoded - encoded,
-        apply=applied - decoded,
+        apply=sum(steps),
+        longest_step=max(steps),
     )
 
 
@@ -116,6 +115,15 @@
     )
 
 
+def _apply_steps(subscriber: Subscriber, message: object) -> Iterator[float]:
+    """Seconds of each piece of work of an instance that applies deltas."""
+    if not isinstance(message, Deltas):
+        raise RuntimeError("the measured message is no delta")
+    yield from _timed(subscriber.deltas_in_steps(message, 1))
+    if subscriber.head is None or subscriber.head.number != message.revisions[-1].number:
+        raise RuntimeError("the measured deltas were not applied")
+
+
 def _load_steps(frames: Sequence[bytes]) -> Iterator[float]:
     """Seconds of each piece of work of an instance that loads a snapshot."""
     began = time.thread_time()
@@ -136,7 +144,7 @@
         raise RuntimeError("the measured snapshot was not loaded")
 
 
-def _timed(steps: Iterator[None]) -> Iterator[float]:
+def _timed(steps: Iterable[None]) -> Iterator[float]:
     began = time.thread_time()
     for _ in steps:
         yield time.thread_time() - began
--- a/limeridge/configuration/subscriber.py
+++ b/limeridge/configuration/subscriber.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Generator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from itertools import pairwise
@@ -18,6 +18,8 @@
 from limeridge.configuration.snapshot import SnapshotFault, SnapshotHeader, SnapshotLoader
 from limeridge.configuration.tables import CantApply, Tables, TablesEditor
 
+CHANGES_PER_STEP = 20  # under two milliseconds
+
 
 class Why(StrEnum):
     """Reasons of a decision, for logs and counters."""
@@ -25,7 +27,7 @@
     OLD = "old or doubled"
     OLDER_CHAIN = "from an older chain"
     ASKED = "asked already"
-    LOADING = "a snapshot is being loaded"
+    LOADING = "other tables are being made"
     NOTHING_YET = "no revision yet"
     GAP = "a gap"
     WRONG_HASH = "the hash is not that of the chain"
@@ -108,13 +110,14 @@
         self._terms = terms
         self._loader: SnapshotLoader | None = None
         self._load_until = 0
+        self._applying = False
         self._asked: AskDeltas | AskSnapshot | None = None
         self._ask_again_at = 0
         self._unanswered = 0
 
     def hears_head(self, head: Head, now: int) -> Decision:
         """A publisher tells where it is."""
-        if self._loader is not None:
+        if self._busy:
             return Ignore(Why.LOADING)
         if self.head is None:
             return self._ask(AskSnapshot(Why.NOTHING_YET), now)
@@ -129,8 +132,21 @@
         return Ignore(Why.OLD)
 
     def hears_deltas(self, deltas: Deltas, now: int) -> Decision:
-        """Revisions came, asked for or not."""
-        if self._loader is not None:
+        """Revisions came, asked for or not. All at once, see `deltas_in_steps`."""
+        steps = self.deltas_in_steps(deltas, now)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as done:
+                decision: Decision = done.value
+                return decision
+
+    def deltas_in_steps(self, deltas: Deltas, now: int) -> Generator[None, None, Decision]:
+        """Revisions came; the decision is there behind the last step. Others are ignored meanwhile.
+
+        A step makes CHANGES_PER_STEP changes at the most. Nothing has changed if it is closed before the end.
+        """
+        if self._busy:
             return Ignore(Why.LOADING)
         if self.head is None:
             return self._ask(AskSnapshot(Why.NOTHING_YET), now)
@@ -143,14 +159,18 @@
             return self._ask(AskSnapshot(Why.OLDER_CHAIN), now)
         if new[0].number > head.number + 1:
             return self._ask(AskDeltas(head, Why.GAP), now)
-        made = self._made(head, new, now)
+        self._applying = True
+        try:
+            made = yield from self._made(head, new, now)
+        finally:
+            self._applying = False
         if made is None or made.head.hash != deltas.last_hash:
             return self._ask(AskSnapshot(Why.WRONG_HASH), now)
         return self._in_force(made)
 
     def hears_snapshot(self, header: SnapshotHeader, now: int) -> Decision:
         """The beginning of a snapshot came."""
-        if self._loader is not None:
+        if self._busy:
             return Ignore(Why.LOADING)
         if self.head is not None:
             if header.head.token < self.head.token:
@@ -186,6 +206,8 @@
         """To be called each few hundred milliseconds: askings without an answer are repeated."""
         if self._loader is not None:
             return self.not_loaded(now) if now >= self._load_until else Ignore(Why.LOADING)
+        if self._applying:
+            return Ignore(Why.LOADING)
         if self._asked is None or now < self._ask_again_at:
             return Ignore(Why.OLD if self._asked is None else Why.ASKED)
         again: AskDeltas | AskSnapshot = AskSnapshot(Why.NO_ANSWER)
@@ -193,7 +215,13 @@
             again = AskDeltas(self.head, Why.NO_ANSWER)
         return self._asking(again, now)
 
-    def _made(self, head: Head, revisions: Sequence[Revision], now: int) -> Apply | None:
+    @property
+    def _busy(self) -> bool:
+        return self._loader is not None or self._applying
+
+    def _made(
+        self, head: Head, revisions: Sequence[Revision], now: int
+    ) -> Generator[None, None, Apply | None]:
         """The tables after `revisions` and the hash that they come to; None where they can't be applied.
 
         Whether they follow `head` without a hole is told by that hash alone.
@@ -201,10 +229,12 @@
         editor = TablesEditor(self.tables, now=now, retired_until=now + self._terms.retention)
         chain_hash = head.hash
         for revision in revisions:
-            try:
-                editor.apply(revision.changes)
-            except CantApply:
-                return None
+            for first in range(0, len(revision.changes), CHANGES_PER_STEP):
+                try:
+                    editor.apply(revision.changes[first : first + CHANGES_PER_STEP])
+                except CantApply:
+                    return None
+                yield
             chain_hash = hash_of(chain_hash, revision, editor.digest)
         last = revisions[-1]
         return Apply(Head(last.number, chain_hash, last.token), editor.build())
--- a/tests/test_configuration_revisions.py
+++ b/tests/test_configuration_revisions.py
@@ -390,6 +390,27 @@
     assert subscriber.hears_head(chain.entry(3).head, 0) == Ignore(Why.OLD)
 
 
+def test_deltas_are_applied_in_steps_and_nothing_crosses_them() -> None:
+    many = draft(*(PutTenant(f"many-{number}", 1.0) for number in range(50)), change_id="many")
+    chain = new_chain(many, draft(change_id="empty"))
+    subscriber = follower(chain, 1)
+    steps = subscriber.deltas_in_steps(entries(chain, 2, 3), 0)
+    next(steps)
+    assert subscriber.hears_deltas(entries(chain, 2, 3), 0) == Ignore(Why.LOADING)
+    assert subscriber.hears_head(chain.head, 0) == Ignore(Why.LOADING)
+    header = snapshot_of(chain.last, chain.tables).header
+    assert subscriber.hears_snapshot(header, 0) == subscriber.tick(0) == Ignore(Why.LOADING)
+    steps.close()  # given up: as if nothing had come
+    assert (subscriber.head, len(subscriber.tables.tenants)) == (chain.entry(1).head, 0)
+    steps = subscriber.deltas_in_steps(entries(chain, 2, 3), 0)
+    assert [next(steps) for _ in range(3)] == [None] * 3  # 20, 20 and 10 changes
+    assert (subscriber.head, len(subscriber.tables.tenants)) == (chain.entry(1).head, 0)
+    with pytest.raises(StopIteration) as done:
+        next(steps)
+    assert isinstance(done.value.value, Apply) and subscriber.head == chain.head
+    assert as_bytes(subscriber.tables) == as_bytes(chain.tables)
+
+
 def test_a_subscriber_asks_over_a_gap_once_and_again_without_an_answer() -> None:
     chain = new_chain(*some_drafts(6))
     subscriber = follower(chain, 2)
