--- a/limeridge/duty/check.py
+++ b/limeridge/duty/check.py
@@ -306,9 +306,22 @@
         return state._replace(voters=voters)
 
     def at_voter(self, state: State, place: int) -> Iterator[Step]:
-        """What a voter may do at its turn: take any asking that is on its way, and more where the scope has
-        it."""
+        """What a voter may do at its turn: take any asking that is on its way, start again, or hear what
+        another one remembers."""
         kept = state.voters[place]
+        yield from self.asked(state, place, kept)
+        if state.restarts:
+            longest = Voter("", {DUTY: self.terms}, self.quorum, 0).longest
+            new = VoterState(
+                silent=longest, patience=int(PATIENCE * longest), told=0, asks=kept.asks,
+                replies=kept.replies, granted=kept.granted,
+            )  # fmt: skip
+            yield ("restarts", place), self.put(state._replace(restarts=state.restarts - 1), place, new)
+        if kept.told >= 0 and not kept.silent and bin(kept.told).count("1") < self.quorum:
+            yield from self.recalled(state, place, kept)
+
+    def asked(self, state: State, place: int, kept: VoterState) -> Iterator[Step]:
+        """Each asking that is on its way to a voter, with all that its answer may come to."""
         waits = self.scope.recalls and kept.told >= 0 and bin(kept.told).count("1") < self.quorum
         for ask in () if waits else kept.asks:
             rest = tuple(each for each in kept.asks if each != ask)
@@ -341,21 +354,16 @@
             if state.doubled:
                 spent = state._replace(doubled=state.doubled - 1)
                 yield (*what, "and once more"), self.put(spent, place, new._replace(asks=kept.asks))
-        if state.restarts:
-            longest = Voter("", {DUTY: self.terms}, self.quorum, 0).longest
-            new = VoterState(
-                silent=longest, patience=int(PATIENCE * longest), told=0, asks=kept.asks,
-                replies=kept.replies, granted=kept.granted,
-            )  # fmt: skip
-            yield ("restarts", place), self.put(state._replace(restarts=state.restarts - 1), place, new)
-        if kept.told >= 0 and not kept.silent and bin(kept.told).count("1") < self.quorum:
-            for other, source in enumerate(state.voters):
-                remembers = source.told < 0 or bin(source.told).count("1") >= self.quorum
-                if other != place and remembers and not kept.told >> other & 1:
-                    voter = self.voter(kept, str(place))
-                    voter.hears(str(other), True, {DUTY: source.highest}, NOW)
-                    new = kept._replace(told=kept.told | 1 << other, highest=voter.promise(DUTY).highest)
-                    yield ("hears what is known to", place, other), self.put(state, place, new)
+
+    def recalled(self, state: State, place: int, kept: VoterState) -> Iterator[Step]:
+        """What a voter that forgot may hear from each that remembers."""
+        for other, source in enumerate(state.voters):
+            remembers = source.told < 0 or bin(source.told).count("1") >= self.quorum
+            if other != place and remembers and not kept.told >> other & 1:
+                voter = self.voter(kept, str(place))
+                voter.hears(str(other), True, {DUTY: source.highest}, NOW)
+                new = kept._replace(told=kept.told | 1 << other, highest=voter.promise(DUTY).highest)
+                yield ("hears what is known to", place, other), self.put(state, place, new)
 
     @staticmethod
     def put(state: State, place: int, voter: VoterState) -> State:
