--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -31,7 +31,7 @@
 from limeridge.peers.table_exchange import TableExchange
 from limeridge.peers.updates import Updates
 
-__all__ = ["Address", "Delegate", "Event", "Habits", "Peer", "Send", "own_claim"]
+__all__ = ["Habits", "Peer", "own_claim"]
 
 FRESH_ROUNDS = 4  # that a sign of a member counts
 BACK_ROUNDS = 10  # that a member counts as back from being gone
--- a/limeridge/sim/gossip.py
+++ b/limeridge/sim/gossip.py
@@ -18,9 +18,10 @@
 from functools import partial
 from itertools import count
 
-from limeridge.peers.members import State
+from limeridge.peers.habits import Habits
+from limeridge.peers.members import Address, State
 from limeridge.peers.messages import DATAGRAM_MOST, Foreign, Message, Ping, decode, encode, key_of
-from limeridge.peers.peer import Address, Habits, Peer, own_claim
+from limeridge.peers.peer import Peer, own_claim
 from limeridge.peers.probing import Pace
 from limeridge.peers.shares import Terms
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,9 +14,10 @@
 from limeridge.peers import probing
 from limeridge.peers.discovery import Discovery
 from limeridge.peers.gate import Gate
+from limeridge.peers.habits import Habits
 from limeridge.peers.members import Claim, Life, Members, State
 from limeridge.peers.messages import DATAGRAM_MOST, Accusal, Ack, Foreign, Ping, Table, decode, encode, key_of
-from limeridge.peers.peer import Habits, Peer
+from limeridge.peers.peer import Peer
 from limeridge.peers.reach import Grade, Reach, Stand
 from limeridge.peers.seeds import Patience, Seeker
 from limeridge.peers.setup import read
