Call it connectivity whether a member reaches most, few or none of the others, in place of 'stand'

The enum Stand, Reach.stand and stand_since are Connectivity, connectivity and connectivity_since; the log's codes and the keys that `peers show` reads keep their names.

--- a/limeridge/peers/link.py
+++ b/limeridge/peers/link.py
@@ -519,8 +519,8 @@
         told: dict[str, object] = {
             "name": peer.own.name,
             "life": peer.own.life.number,
-            "stand": peer.reach.stand.value,
-            "stand_for_s": round((now - peer.reach.stand_since) / 1e6, 1),
+            "stand": peer.reach.connectivity.value,
+            "stand_for_s": round((now - peer.reach.connectivity_since) / 1e6, 1),
             "present": len(peer.members.present()),
             "agree": peer.agree(),
             "missed_by": peer.reach.missed_by(peer.own.name, now),
--- a/limeridge/peers/observer.py
+++ b/limeridge/peers/observer.py
@@ -1,4 +1,5 @@
-"""What is logged of the others: changes of their grades, of the stand among them and of the share's reason.
+"""What is logged of the others: changes of their grades, of the connectivity to them and of the share's
+reason.
 
 It owns what was logged last. It must never change anything but that.
 """
@@ -8,7 +9,7 @@
 from limeridge.peers.members import Claim, Members, State
 from limeridge.peers.outbox import Outbox
 from limeridge.peers.probing import Detector
-from limeridge.peers.reach import Grade, Reach, Stand
+from limeridge.peers.reach import Connectivity, Grade, Reach
 from limeridge.peers.share_exchange import ShareExchange
 
 
@@ -37,7 +38,7 @@
         if now >= self.next_at or self.members.leaving:
             self.next_at = now + self.every
             self._look_at_members(now)
-            self._look_at_stand(now)
+            self._look_at_connectivity(now)
             self._look_at_share(now)
 
     def forget(self, name: str) -> None:
@@ -62,13 +63,13 @@
             incarnation=claim.incarnation,
         )
 
-    def _look_at_stand(self, now: int) -> None:
-        old = self.reach.stand
-        new = self._stand(now)
+    def _look_at_connectivity(self, now: int) -> None:
+        old = self.reach.connectivity
+        new = self._connectivity(now)
         if new is not old:
             self.outbox.log("peers", f"with-{new.value}", present=len(self.members.present()))
 
-    def _stand(self, now: int) -> Stand:
+    def _connectivity(self, now: int) -> Connectivity:
         present = len(self.members.present())
         dead = sum(1 for _ in self.members.others(State.DEAD))
         return self.reach.look(present, present + dead, self.detector.heard_at, now)
--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -61,7 +61,7 @@
         self.outbox = Outbox()
         self.members = Members(own)
         self.detector = Detector(self.members, chance, habits.pace, now)
-        self.reach = Reach(FRESH_ROUNDS * interval, BACK_ROUNDS * interval, stand_since=now)
+        self.reach = Reach(FRESH_ROUNDS * interval, BACK_ROUNDS * interval, connectivity_since=now)
         self.voter = Voter(terms, now) if terms is not None else None
         members, detector, reach, outbox = self.members, self.detector, self.reach, self.outbox
         self.dissemination = Dissemination(members, detector, reach)
--- a/limeridge/peers/reach.py
+++ b/limeridge/peers/reach.py
@@ -24,7 +24,7 @@
     GONE = "gone"  # left, or held dead by those in reach
 
 
-class Stand(Enum):
+class Connectivity(Enum):
     """Among how many of the known members this instance stands. The text is the name in logs."""
 
     MOST = "most"
@@ -52,8 +52,8 @@
     fresh: int
     back: int
     seen: dict[str, Seen] = field(default_factory=dict)
-    stand: Stand = Stand.ALONE
-    stand_since: int = 0
+    connectivity: Connectivity = Connectivity.ALONE
+    connectivity_since: int = 0
 
     def of(self, name: str) -> Seen:
         """The signs of a member, empty where there were none yet."""
@@ -89,15 +89,15 @@
             name for name, seen in self.seen.items() if own in seen.misses and now - seen.said < self.fresh
         )
 
-    def look(self, present: int, known: int, heard_at: int, now: int) -> Stand:
+    def look(self, present: int, known: int, heard_at: int, now: int) -> Connectivity:
         """`present` and `known` count ourselves; known are those present and those held dead, not those that
         left: they said so. Alone is who heard nobody for as long as a sign counts."""
         if known <= 1:
-            stand = Stand.MOST
+            connectivity = Connectivity.MOST
         elif now - heard_at >= self.fresh or present <= 1:
-            stand = Stand.ALONE
+            connectivity = Connectivity.ALONE
         else:
-            stand = Stand.MOST if 2 * present > known else Stand.FEW
-        if stand is not self.stand:
-            self.stand, self.stand_since = stand, now
-        return stand
+            connectivity = Connectivity.MOST if 2 * present > known else Connectivity.FEW
+        if connectivity is not self.connectivity:
+            self.connectivity, self.connectivity_since = connectivity, now
+        return connectivity
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -18,7 +18,7 @@
 from limeridge.peers.members import Claim, Life, Members, State
 from limeridge.peers.messages import DATAGRAM_MOST, Accusal, Ack, Foreign, Ping, Table, decode, encode, key_of
 from limeridge.peers.peer import Peer
-from limeridge.peers.reach import Grade, Reach, Stand
+from limeridge.peers.reach import Connectivity, Grade, Reach
 from limeridge.peers.seeds import Patience, Seeker
 from limeridge.peers.setup import read
 from limeridge.peers.shares import NO_EPOCH, Holder, Offers, Terms, View, Voter
@@ -223,11 +223,11 @@
     assert reach.grade(replace(claim, state=State.DEAD), 3 * SECOND) is Grade.GONE
     seen.back = 3 * SECOND
     assert reach.grade(claim, 4 * SECOND) is Grade.BACK
-    assert reach.look(1, 1, 0, SECOND) is Stand.MOST, "there never was anybody else"
-    assert reach.look(4, 6, 0, SECOND) is Stand.MOST
-    assert reach.look(3, 6, 0, 2 * SECOND) is Stand.FEW
-    assert reach.stand_since == 2 * SECOND
-    assert reach.look(6, 6, 0, 9 * SECOND) is Stand.ALONE
+    assert reach.look(1, 1, 0, SECOND) is Connectivity.MOST, "there never was anybody else"
+    assert reach.look(4, 6, 0, SECOND) is Connectivity.MOST
+    assert reach.look(3, 6, 0, 2 * SECOND) is Connectivity.FEW
+    assert reach.connectivity_since == 2 * SECOND
+    assert reach.look(6, 6, 0, 9 * SECOND) is Connectivity.ALONE
 
 
 # ---- shares
