--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -85,7 +85,7 @@
     done = command("sim", "explore", "--seeds", "6", "--jobs", "2", "--log", "log", "--json", cwd=tmp_path)
     report = orjson.loads(done.stdout)
     assert done.returncode == 0 and report["seeds"] == 6 and report["failed"] == []
-    assert report["rules"]["one-answer"] > 100 and len(report["pairs"]) == 300
+    assert report["rules"]["one-answer"] > 100 and len(report["pairs"]) == 351
     line = orjson.loads((tmp_path / "log").read_bytes())
     assert line["who"] == "sim" and line["event"] == "explored" and line["seeds"] == 6 and line["t"] > 1e9
     done = command("sim", "explore", "--seeds", "2", "--jobs", "1", cwd=tmp_path)
