--- a/limeridge/peers/setup.py
+++ b/limeridge/peers/setup.py
@@ -35,7 +35,7 @@
     terms: DutyTerms
     waits: Waits
     list_read: bool
-    allot: int  # microseconds that a grant of the ledger's limit lasts; 0 where it is not dealt by need
+    allot: int  # microseconds that a grant of calls lasts; 0 where the limit is not dealt by need
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,7 +52,7 @@
     terms: Terms | None
     linger: int  # -1 where the configuration tells it
     longest_told: bool
-    from_list: bool = False  # members are also found by the node list
+    from_list: bool = False  # members are also found by service discovery
     duties: DutySetup | None = None
 
 
@@ -63,6 +63,7 @@
 
 
 def check(message: pb.Peers, checked: Checked) -> None:
+    """Raises Unusable, with line and field, where the file of membership is at fault."""
     if not message.fleet or len(message.fleet) > NAME_MOST:
         raise checked.refuse("fleet", f"expected a name of 1 to {NAME_MOST} characters")
     _check_key(message, checked)
@@ -194,6 +195,8 @@
 
 
 def setup_of(message: pb.Peers) -> PeerSetup:
+    """The settings that a file, checked already, comes to; absent fields get their defaults. Raises OSError
+    where the key file has gone since."""
     interval = int((message.interval_ms or 1_000) * MS)
     habits = Habits.paced(
         interval,
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -443,14 +443,14 @@
     _m(
         "missing-let-through",
         CONFIG,
-        "                if needed:\n",
-        "                if needed and not needed:\n",
+        "    elif needed:\n",
+        "    elif needed and not needed:\n",
         "a missing setting is not refused",
     ),
     _m(
         "half-file",
         CONFIG,
-        '    except orjson.JSONDecodeError as trouble:\n        raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None\n',
+        '    except BadDocument as trouble:\n        raise Unusable(f"BALANCER_CONFIG: expected JSON, got {trouble}") from None\n',
         "    except ZeroDivisionError:\n        raise\n",
         "a file that is no JSON is not refused",
     ),
@@ -541,7 +541,7 @@
     _m(
         "skip-any",
         BRAIN,
-        "if kind.skip_value > 0 and (\n                txn.left_out < txn.approach or stuck",
+        "if txn.terms.skip_value > 0 and (\n                txn.left_out < txn.approach or stuck",
         "if (\n                txn.left_out < txn.approach or stuck",
         "calls are left out that may not be",
     ),
@@ -665,7 +665,7 @@
         "who does not answer is never suspected",
     ),
     _m(
-        "tongue-loose",
+        "isolated-holds-dead",
         PROBING,
         "        alone = now - max(self.heard_at, self.back_at)\n",
         "        return False\n        alone = now - max(self.heard_at, self.back_at)\n",
