--- a/limeridge/scale/members_sweep.py
+++ b/limeridge/scale/members_sweep.py
@@ -18,7 +18,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
-from itertools import pairwise
+from itertools import pairwise, product
 from pathlib import Path
 from types import TracebackType
 
@@ -32,15 +32,16 @@
 SIZES = (50, 100, 200, 400, 800)
 QUICK_SIZES = (12, 24)
 LEAST, MOST = 8, 3_400
-REPEATS = 3
+RUNS = 1  # of the fleets of each size
+REPEATS = 3  # windows at rest, and under churn, within one run
 TOGETHER_MOST = 1_600  # members of fleets that are measured at the same time
 QUICK_SLOWDOWN = 0.4  # a quick sweep's rounds are shorter than a second
 BLOCKS = range(160, 200)  # second byte of loopback addresses, one block a fleet
 TARGET_MEMBERS, TARGET_EVERY = 3_400, 86_400 / 14_000  # members, seconds from one replacement to the next
 CHURN_LEAST = 5  # replacements within a window
 
-CORES_MEMBER, CORES_PAIR = 0.006, 8e-6  # a member's processor time at least, and for each other member
-CORES_SHARE = 0.5  # of the machine's cores that fleets may want
+CORES_MEMBER, CORES_PAIR = 0.006, 1.2e-5  # a member's processor time at least, and for each other member
+CORES_SHARE = 0.65  # of the machine's cores that fleets may want
 SLOWDOWN_STEP = 0.5
 
 # Bytes: of a worker without members, of a member, and of what a member holds of another, with room to spare.
@@ -64,15 +65,15 @@
 class Windows:
     """Seconds of the fleet that each part of a run lasts."""
 
-    start: float = 3.0  # over which members start
-    settle_most: float = 25.0  # until all must know all
-    rest: float = 8.0
-    churn: float = 6.0
-    lost: float = 12.0  # after a rack or a zone is lost
-    gone: float = 10.0  # that a region stays away
-    back: float = 7.0  # after it has come back
+    start: float = 2.0  # over which members start
+    settle_most: float = 15.0  # until all must know all
+    rest: float = 6.0
+    churn: float = 5.0
+    lost: float = 10.0  # after a rack or a zone is lost
+    gone: float = 6.0  # that a region stays away
+    back: float = 6.0  # after it has come back
     cut: float = 8.0
-    heal: float = 6.0
+    heal: float = 5.0
     pause: float = 2.0  # between two situations
 
 
@@ -347,21 +348,21 @@
         self.window(Situation.REST, self.windows.rest, tries=3)
         self.memory()
 
-    def churn(self) -> None:
-        """Replacements one by one, of members without a role."""
+    def churn(self, part: int = 0) -> None:
+        """Replacements one by one, of members without a role; others in each part of a run."""
         every = churn_every(self.fleet.count, self.windows.churn)
         count = math.ceil(self.windows.churn / every)
-        self.replace_some(count, every)
+        self.replace_some(count, every, part)
         if self.window(Situation.CHURN, self.windows.churn):
             self.readings.note(
                 f"{Situation.CHURN.value}: one in {every:.2g} s at {self.fleet.count} members; the target's "
                 f"rate is one in {target_every(self.fleet.count):.3g} s there"
             )
 
-    def replace_some(self, count: int, every: float) -> None:
-        """So many members without a role, drawn anew for each run."""
+    def replace_some(self, count: int, every: float, part: int = 0) -> None:
+        """So many members without a role, drawn anew for each part of a run."""
         ordinary = self.fleet.ordinary()
-        chance = random.Random(f"churn {self.fleet.count} {self.number}")
+        chance = random.Random(f"churn {self.fleet.count} {self.number} {part}")
         chosen = chance.sample(ordinary, min(count, len(ordinary)))
         after = {number: place * every for place, number in enumerate(chosen)}
         self.running.to_those_with(
@@ -462,14 +463,12 @@
         running.start_all()
         if not running.settle():
             readings.note(f"{run.label}: not all knew all when the windows began")
+        for _ in range(REPEATS):
+            run.rest()
         if fleet.mode is Mode.BY_NEED:
-            for _ in range(REPEATS):
-                run.rest()
-            return
-        run.rest()
-        run.churn()
-        if number:
             return
+        for part in range(REPEATS):
+            run.churn(part)
         run.running.wait(run.windows.pause)
         run.lose_rack()
         run.lose_zone_and_region()
@@ -484,7 +483,7 @@
         own = stack.enter_context(meter.OwnTimer())
         blocks = [stack.enter_context(claimed_block()) for _ in request.sizes]
         block_of = dict(zip(request.sizes, blocks, strict=True))
-        for mode, number in [*((Mode.VIEWS, number) for number in range(REPEATS)), (Mode.BY_NEED, 0)]:
+        for mode, number in product(Mode, range(RUNS)):
             for group in together(request.sizes):
                 slowdown = slowdown_for(group, os.cpu_count() or 1)
                 request.progress(
@@ -524,8 +523,8 @@
         )
     readings.note(f"largest size reached: {max(sizes)} members")
     readings.note(
-        f"{REPEATS} runs at rest and under churn; racks, zones, regions and cuts in the first run only; duty "
-        f"holder: one run, {REPEATS} windows at rest"
+        f"runs of each size: {RUNS}, each with {REPEATS} windows at rest, {REPEATS} under churn and one of "
+        "each loss and cut, for want of time on the machine; duty holder: at rest alone"
     )
     readings.note(
         f"windows in seconds of the fleet: rest {windows.rest:g}, churn {windows.churn:g}, after a loss "
