--- a/limeridge/scale/assumptions.py
+++ b/limeridge/scale/assumptions.py
@@ -92,7 +92,6 @@
     "restart to change",
     "a change that no running process takes up is in force when the ordinary replacements have come round",
 )
-ROUNDS_BETWEEN_TABLES = share(10)  # as limeridge.peers has it by itself
 VIEWS_OF_A_REPLACEMENT = Quantity(2, MESSAGE / REPLACEMENT)
 VIEW_A_REPLACEMENT = Assumption(
     "views of a replacement",
--- a/limeridge/scale/failures.py
+++ b/limeridge/scale/failures.py
@@ -9,6 +9,7 @@
 import math
 
 from limeridge.peers.members import TELL_FACTOR
+from limeridge.peers.messages import CLAIM_BYTES, DATAGRAM_MOST, HEAD_BYTES
 from limeridge.peers.probing import Pace
 from limeridge.peers.shares import Terms
 from limeridge.scale import assumptions as take
@@ -30,7 +31,8 @@
 
 RACK = Quantity(40, INSTANCE)
 VOTERS = tuple("12345")  # as many as there are machines set aside in the users' target
-CLAIMS_OF_A_DATAGRAM = Quantity(14)
+NEWS_BYTES = 20  # of a claim's name, address and zone
+CLAIMS_OF_A_DATAGRAM = Quantity((DATAGRAM_MOST - HEAD_BYTES) // (CLAIM_BYTES + NEWS_BYTES))
 MEAN_ROUNDS = math.e / (math.e - 1)  # until a member is probed by one of all that probe in turn
 NEWS_A_SECOND = Quantity(3) / seconds(1)
 LIST_LAPSE = seconds(3)
@@ -42,8 +44,8 @@
 )
 NEWS = Assumption(
     "telling",
-    "three datagrams a second carry news, with 14 claims of 72 bytes in each; a claim is told as often as "
-    "the code has it",
+    f"three datagrams a second carry news, with {CLAIMS_OF_A_DATAGRAM} claims in each; a claim is told as "
+    "often as the code has it",
 )
 RACK_SIZE = Assumption("rack", "a rack or switch has 40 instances behind it")
 LIST_STALE = Assumption(
--- a/limeridge/scale/findings.py
+++ b/limeridge/scale/findings.py
@@ -71,7 +71,9 @@
         "the brain was built for one set of tenants, classes and limits",
     )
     yield Finding(
-        "there are no routes at all", "none are carried by a module", "no part of the program has needed them"
+        "there are no routes at all",
+        "there is a table of routes (`configuration.routes`); no request is looked up in it",
+        "no part of the path of requests has needed them",
     )
 
 
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -8,8 +8,8 @@
 
 from limeridge.facade import RESULTS_KEPT
 from limeridge.net.nodelist import EVERY as REPORT_EVERY
+from limeridge.peers.habits import Habits
 from limeridge.peers.messages import STREAM_MOST
-from limeridge.peers.probing import Pace
 from limeridge.scale import assumptions as take
 from limeridge.scale.configured import Configured, both, current
 from limeridge.scale.evidence import Evidence, Fallback, Figure, assumed, resting_on, stated
@@ -35,12 +35,21 @@
 from limeridge.scale.target import BUDGET_SENTENCE, LOAD_SENTENCE, TABLES_SENTENCE, Target, counted_reading
 
 PATH_MODULES = ("limeridge.net.service", "limeridge.net.callers", "limeridge.brain")
-MEMBERSHIP_MODULES = ("limeridge.peers.peer", "limeridge.peers.members", "limeridge.peers.probing")
-VIEW_MODULES = ("limeridge.peers.shares", "limeridge.peers.peer")
+MEMBERSHIP_MODULES = (
+    "limeridge.peers.peer",
+    "limeridge.peers.members",
+    "limeridge.peers.prober",
+    "limeridge.peers.table_exchange",
+)
+VIEW_MODULES = ("limeridge.peers.shares", "limeridge.peers.share_exchange")
 DUTY_MODULES = ("limeridge.duty.member", "limeridge.duty.ballots")
-READER_MODULES = ("limeridge.peers.seeds", "limeridge.duty.member")
+READER_MODULES = ("limeridge.peers.discovery", "limeridge.peers.seeds", "limeridge.duty.member")
 FILE_MODULES = ("limeridge.config",)
-TABLE_MODULES = ("limeridge.configuration",)
+TABLE_MODULES = (
+    "limeridge.configuration.tenants",
+    "limeridge.configuration.reading",
+    "limeridge.configuration.application",
+)
 SUSTAINED = (Situation.REST, Situation.CHURN)
 SUSTAINED_OF = {Role.DUTY_HOLDER: (Situation.REST,)}  # its fleet deals by need and is measured at rest alone
 
@@ -245,7 +254,7 @@
         Part.CONTROL,
         "its whole table of members",
         "one member, and back",
-        each_interval(microseconds(Pace().interval) * take.ROUNDS_BETWEEN_TABLES),
+        each_interval(microseconds(Habits().sync)),
         largest,
         MEMBERSHIP_MODULES,
     )
