--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,10 +14,11 @@
 from limeridge.peers import probing
 from limeridge.peers.discovery import Discovery
 from limeridge.peers.gate import Gate
+from limeridge.peers.habits import Habits
 from limeridge.peers.members import Claim, Life, Members, State
 from limeridge.peers.messages import DATAGRAM_MOST, Accusal, Ack, Foreign, Ping, Table, decode, encode, key_of
-from limeridge.peers.peer import Habits, Peer
-from limeridge.peers.reach import Grade, Reach, Stand
+from limeridge.peers.peer import Peer
+from limeridge.peers.reach import Connectivity, Grade, Reach
 from limeridge.peers.seeds import Patience, Seeker
 from limeridge.peers.setup import read
 from limeridge.peers.shares import NO_EPOCH, Holder, Offers, Terms, View, Voter
@@ -192,7 +193,7 @@
     assert "m2" not in probed.detector.suspicions
 
 
-def test_one_that_stood_still_or_hears_nobody_holds_its_tongue() -> None:
+def test_one_that_stood_still_or_hears_nobody_holds_nobody_dead() -> None:
     probed = Probed()
     probed.go(3 * SECOND)
     probed.take(Claim("m2", Life(1, 1), 0, State.SUSPECT))
@@ -222,11 +223,11 @@
     assert reach.grade(replace(claim, state=State.DEAD), 3 * SECOND) is Grade.GONE
     seen.back = 3 * SECOND
     assert reach.grade(claim, 4 * SECOND) is Grade.BACK
-    assert reach.look(1, 1, 0, SECOND) is Stand.MOST, "there never was anybody else"
-    assert reach.look(4, 6, 0, SECOND) is Stand.MOST
-    assert reach.look(3, 6, 0, 2 * SECOND) is Stand.FEW
-    assert reach.stand_since == 2 * SECOND
-    assert reach.look(6, 6, 0, 9 * SECOND) is Stand.ALONE
+    assert reach.look(1, 1, 0, SECOND) is Connectivity.MOST, "there never was anybody else"
+    assert reach.look(4, 6, 0, SECOND) is Connectivity.MOST
+    assert reach.look(3, 6, 0, 2 * SECOND) is Connectivity.FEW
+    assert reach.connectivity_since == 2 * SECOND
+    assert reach.look(6, 6, 0, 9 * SECOND) is Connectivity.ALONE
 
 
 # ---- shares
