--- a/limeridge/peers/peer.py
+++ b/limeridge/peers/peer.py
@@ -31,7 +31,7 @@
 from limeridge.peers.table_exchange import TableExchange
 from limeridge.peers.updates import Updates
 
-__all__ = ["Address", "Delegate", "Event", "Habits", "Peer", "Send", "own_claim"]
+__all__ = ["Habits", "Peer", "own_claim"]
 
 FRESH_ROUNDS = 4  # that a sign of a member counts
 BACK_ROUNDS = 10  # that a member counts as back from being gone
@@ -61,7 +61,7 @@
         self.outbox = Outbox()
         self.members = Members(own)
         self.detector = Detector(self.members, chance, habits.pace, now)
-        self.reach = Reach(FRESH_ROUNDS * interval, BACK_ROUNDS * interval, stand_since=now)
+        self.reach = Reach(FRESH_ROUNDS * interval, BACK_ROUNDS * interval, connectivity_since=now)
         self.voter = Voter(terms, now) if terms is not None else None
         members, detector, reach, outbox = self.members, self.detector, self.reach, self.outbox
         self.dissemination = Dissemination(members, detector, reach)
