--- a/limeridge/scale/page.py
+++ b/limeridge/scale/page.py
@@ -15,7 +15,7 @@
 from limeridge.scale.results import Fit, Point, Series, Size, Sweep, Unit, read
 
 FOLDER = Path("docs/results/scale")
-PART = re.compile(r"(<!-- sweep (?P<name>[\w-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+PART = re.compile(r"(<!-- sweep (?P<name>[\w/-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 DIGITS = 3  # significant ones of a figure
 
 
