--- a/limeridge/scale/assumptions.py
+++ b/limeridge/scale/assumptions.py
@@ -67,10 +67,11 @@
     "a hollow member's processor and memory are its part of a process that holds many; for control an "
     "instance takes no more of them than that",
 )
+SWEPT_REPLACEMENTS = Quantity(1, REPLACEMENT / SECOND)
 CHURN = Assumption(
     "replacements in the sweep",
-    "the sweep replaces more members in its window than the target's mean would (its notes say how often); "
-    "the figure is not scaled down to the mean",
+    "the sweep replaces one member a second at each size, more than the target's mean of a day; what that "
+    "adds to the cost at rest is in proportion to the rate",
 )
 
 # ---- costs that no series gives
--- a/limeridge/scale/evidence.py
+++ b/limeridge/scale/evidence.py
@@ -13,7 +13,7 @@
 from statistics import fmean
 
 from limeridge.scale import results
-from limeridge.scale.fit import CONSTANT, extrapolate, fit
+from limeridge.scale.fit import CONSTANT, FAR_RATIO, extrapolate, fit, straight_line
 from limeridge.scale.quantities import BYTE, CORE, MESSAGE, NO_UNIT, SECOND, Quantity, Unit
 from limeridge.scale.results import Fit, Point, Role, Series, Situation, Size, Sweep, UnusableResult
 
@@ -34,8 +34,8 @@
     STATED = "stated"
     MEASURED = "measured"
     EXTRAPOLATED = "extrapolated"
-    FAR = "extrapolated more than 8 times"
     ASSUMED = "assumed"
+    FAR = "extrapolated more than 8 times"
     NOT_MEASURED = "not measured, assumed"
 
 
@@ -99,11 +99,11 @@
         )
 
     def over(self, divisor: Figure) -> Figure:
-        """The quotient of two figures; its interval counts both ends of each."""
+        """The quotient of two figures; its interval counts the dividend's alone."""
         inverse = Figure(
             value=Quantity(1) / divisor.value,
-            low=Quantity(1) / divisor.high,
-            high=Quantity(1) / divisor.low,
+            low=Quantity(1) / divisor.value,
+            high=Quantity(1) / divisor.value,
             formula=f"1 / {_bracketed(divisor.formula, 'x')}",
             basis=divisor.basis,
             sources=divisor.sources,
@@ -136,6 +136,15 @@
     return Figure(**{**vars(figure), "assumptions": (*figure.assumptions, assumption)})
 
 
+def between(one: Figure, other: Figure, part: Figure) -> Figure:
+    """The first figure moved towards the other by a part of their distance, or as many times the other."""
+    share = part.value.number
+    if share >= 1:
+        return other * part
+    rest = Quantity(1 - share)
+    return one * stated(rest) + other * part
+
+
 @dataclass(frozen=True)
 class Fallback:
     """What counts while a series is not there."""
@@ -144,9 +153,14 @@
     assumption: Assumption
 
 
+STRAIGHT = Assumption(
+    "straight line",
+    "where a series has three or four sizes, too few to choose a law by, its cost grows along the straight "
+    "line through them",
+)
 PROPORTIONAL = Assumption(
     "proportional",
-    "where a series has fewer than five sizes, its cost grows in proportion beyond the largest one",
+    "where a series has one or two sizes, its cost grows in proportion beyond the larger one",
 )
 
 
@@ -198,12 +212,17 @@
 
 
 def figure_at(series: Series, reference: Reference, size: float) -> Figure:
-    """The mean at a measured size; else by the growth law; else in proportion to the largest size."""
+    """The mean at a measured size; else by the growth law, a straight line or in proportion."""
     for point in series.points:
         if point.size == size:
             return _mean_of(point, series, reference)
     law = law_of(series)
-    return _in_proportion(series, reference, size) if law is None else _by_law(law, series, reference, size)
+    if law is not None:
+        return _by_law(law, series, reference, size)
+    line = straight_line(series.points)
+    if line is None:
+        return _in_proportion(series, reference, size)
+    return resting_on(_by_law(line, series, reference, size), STRAIGHT)
 
 
 def _mean_of(point: Point, series: Series, reference: Reference) -> Figure:
@@ -248,7 +267,7 @@
         mean.low * factor,
         mean.high * factor,
         f"{mean.formula} x {size_text(size)} / {size_text(point.size)}",
-        Basis.ASSUMED,
+        Basis.FAR if size > FAR_RATIO * point.size else Basis.ASSUMED,
         (reference,),
         (PROPORTIONAL,),
     )
--- a/limeridge/scale/failures.py
+++ b/limeridge/scale/failures.py
@@ -14,12 +14,14 @@
 from limeridge.peers.shares import Terms
 from limeridge.scale import assumptions as take
 from limeridge.scale.configured import current
-from limeridge.scale.evidence import Assumption, Evidence, Figure, assumed, stated
+from limeridge.scale.evidence import Assumption, Evidence, Fallback, Figure, assumed, stated
+from limeridge.scale.instance_rows import sustained_cost
 from limeridge.scale.model import Failure
 from limeridge.scale.quantities import (
     DAY,
     FAILURE,
     INSTANCE,
+    REPLACEMENT,
     Quantity,
     microseconds,
     seconds,
@@ -58,6 +60,7 @@
     """From the ordinary day to regions that lose each other."""
     return (
         ordinary_day(target, evidence),
+        release(target, evidence),
         loss(target, evidence, "a rack or switch", "most days", RACK, Situation.RACK),
         loss(target, evidence, "a zone", "a few times a year", target.instances_of_a_zone, Situation.ZONE),
         region_lost(target, evidence),
@@ -106,12 +109,26 @@
         noticed_after=held_dead_after(target),
         costs=(
             ("part of all requests that meet a failed machine", part),
-            *spent(target, evidence, Situation.CHURN),
+            *spent_on_a_day(target, evidence),
         ),
         served="all but what was in the hands of the failed machine",
     )
 
 
+def release(target: Target, evidence: Evidence) -> Failure:
+    """All instances replaced one by one, as fast as the sweep replaces members."""
+    took = target.instances / take.SWEPT_REPLACEMENTS * Quantity(1, REPLACEMENT / INSTANCE)
+    return Failure(
+        event=f"a release that replaces all within {took}",
+        how_often="by the operator",
+        lost="one instance at a time",
+        noticed_by="all, as an instance that leaves says so",
+        noticed_after=assumed(known_to_all_after(target).value - held_dead_after(target).value, NOTICING),
+        costs=spent(target, evidence, Situation.CHURN),
+        served="all",
+    )
+
+
 def loss(
     target: Target, evidence: Evidence, event: str, often: str, lost: Quantity, situation: Situation
 ) -> Failure:
@@ -199,6 +216,20 @@
     )
 
 
+def spent_on_a_day(target: Target, evidence: Evidence) -> tuple[tuple[str, Figure], ...]:
+    """What a member and a voter spend at the target's rate of replacements."""
+
+    def at(role: Role, cost: str, fallback: Fallback) -> Figure:
+        return sustained_cost(target, evidence, role, cost, Situation.CHURN, fallback)
+
+    traffic = at(Role.MEMBER, "bytes out", take.MEMBER_BYTES) + at(Role.MEMBER, "bytes in", take.MEMBER_BYTES)
+    return (
+        ("a member's processor", at(Role.MEMBER, "processor", take.MEMBER_PROCESSOR)),
+        ("a member's bytes a second", traffic),
+        ("a voter's processor", at(Role.VOTER, "processor", take.VOTER_PROCESSOR)),
+    )
+
+
 # ---- text
 
 
--- a/limeridge/scale/fit.py
+++ b/limeridge/scale/fit.py
@@ -17,6 +17,7 @@
 from limeridge.scale.results import Fit, Point
 
 FEWEST_SIZES = 5
+FEWEST_OF_A_LINE = 3
 FAR_RATIO = 8.0  # an extrapolation over more than this many times the largest measured size is marked
 GROWTH_EVIDENCE = 10.0  # by how much the AICc of a growing law must undercut the constant one's
 STEEPER_EVIDENCE = 2.0  # and that of a steeper law a simpler one's
@@ -41,7 +42,7 @@
     """What a fit says of one size, in the unit of its series."""
 
     value: float
-    low: float  # of the slope's 95% confidence interval, widened by the fit's worst residual
+    low: float  # of the slope's 95% confidence interval, widened by the fit's worst residual, at most doubled
     high: float
     extrapolated: bool  # beyond the largest measured size
     far: bool  # beyond it by more than FAR_RATIO
@@ -67,7 +68,10 @@
         return None
     if any(point.size < 1 for point in points):
         raise ValueError("expected sizes of 1 or more")
-    chosen = _choose([_fit_law(law, points) for law in LAWS])
+    return _as_fit(_choose([_fit_law(law, points) for law in LAWS]), points)
+
+
+def _as_fit(chosen: _Candidate, points: Sequence[Point]) -> Fit:
     slope_low, slope_high = _slope_interval(chosen, points)
     return Fit(
         law=chosen.law,
@@ -80,6 +84,14 @@
     )
 
 
+def straight_line(points: Sequence[Point]) -> Fit | None:
+    """The line through too few sizes to choose a law by; None for fewer than three."""
+    points = [point for point in points if point.readings]
+    if len({point.size for point in points}) < FEWEST_OF_A_LINE:
+        return None
+    return _as_fit(_fit_law("n", points), points)
+
+
 def extrapolate(fitted: Fit, size: float) -> Estimate:
     """The cost at a size, with its interval.
 
@@ -87,14 +99,15 @@
     """
     reached = min(size, fitted.largest_size) if fitted.slope < 0 else size
     growth = float(LAWS[fitted.law](np.array([reached], dtype=np.float64))[0])
-    value = fitted.intercept + fitted.slope * growth
+    value = max(0.0, fitted.intercept + fitted.slope * growth)
+    doubt = min(1.0, fitted.worst_residual)
     ends = sorted(
         (fitted.intercept + fitted.slope_low * growth, fitted.intercept + fitted.slope_high * growth)
     )
     return Estimate(
-        value=max(0.0, value),
-        low=max(0.0, ends[0] * (1 - fitted.worst_residual)),
-        high=max(0.0, ends[1] * (1 + fitted.worst_residual)),
+        value=value,
+        low=max(0.0, ends[0] * (1 - doubt)),
+        high=max(value, ends[1] * (1 + doubt)),
         extrapolated=size > fitted.largest_size,
         far=size > FAR_RATIO * fitted.largest_size,
     )
@@ -135,7 +148,9 @@
 
 
 def _aicc(squares: float, readings: int, parameters: int) -> float:
-    """Akaike's criterion for few readings; `parameters` counts the noise as one."""
+    """Akaike's criterion for few readings, infinite for too few; `parameters` counts the noise as one."""
+    if readings <= parameters + 1:
+        return float("inf")
     variance = max(squares / readings, EXACT_FIT**2)
     correction = 2 * parameters * (parameters + 1) / (readings - parameters - 1)
     return readings * float(np.log(variance)) + 2 * parameters + correction
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -12,7 +12,7 @@
 from limeridge.peers.messages import STREAM_MOST
 from limeridge.scale import assumptions as take
 from limeridge.scale.configured import Configured, both, current
-from limeridge.scale.evidence import Evidence, Fallback, Figure, assumed, resting_on, stated
+from limeridge.scale.evidence import Evidence, Fallback, Figure, assumed, between, resting_on, stated
 from limeridge.scale.model import Budget, Message, Part, Row, State
 from limeridge.scale.quantities import (
     MESSAGE,
@@ -51,6 +51,7 @@
     "limeridge.configuration.application",
 )
 SUSTAINED = (Situation.REST, Situation.CHURN)
+NAMES = {Situation.REST: "at rest", Situation.CHURN: "under a day's replacements"}
 SUSTAINED_OF = {Role.DUTY_HOLDER: (Situation.REST,)}  # its fleet deals by need and is measured at rest alone
 
 
@@ -111,8 +112,8 @@
     taken = [take.HOLLOW] if role is Role.MEMBER else [take.HOLLOW, take.VOTERS_ON_INSTANCES]
 
     def at(cost: str, situation: Situation, fallback: Fallback) -> Figure:
-        found = evidence.at(member_cost(role, cost, situation), target.instances, fallback)
-        for assumption in [*taken, take.CHURN] if situation is Situation.CHURN else taken:
+        found = sustained_cost(target, evidence, role, cost, situation, fallback)
+        for assumption in taken:
             found = resting_on(found, assumption)
         return found
 
@@ -121,14 +122,14 @@
     for situation in situations:
         yield Row(
             part,
-            f"processor, {situation.value}",
+            f"processor, {NAMES[situation]}",
             at("processor", situation, processor),
             Budget(target.control_processor, BUDGET_SENTENCE, take.SUSTAINED),
             modules,
         )
         yield Row(
             part,
-            f"bytes a second, {situation.value}",
+            f"bytes a second, {NAMES[situation]}",
             at("bytes out", situation, traffic) + at("bytes in", situation, traffic),
             Budget(target.control_bytes, BUDGET_SENTENCE, take.BOTH_WAYS),
             modules,
@@ -142,13 +143,27 @@
     )
     yield Row(
         part,
-        f"largest message, {situations[-1].value}",
-        at("largest message", situations[-1], take.LARGEST_MESSAGE),
+        "largest message",
+        evidence.at(
+            member_cost(role, "largest message", situations[-1]), target.instances, take.LARGEST_MESSAGE
+        ),
         Budget(of_bytes(STREAM_MOST), "the bound on one message in limeridge.peers.messages"),
         modules,
     )
 
 
+def sustained_cost(
+    target: Target, evidence: Evidence, role: Role, cost: str, situation: Situation, fallback: Fallback
+) -> Figure:
+    """A cost at rest, or at the target's rate of replacements."""
+    rest = evidence.at(member_cost(role, cost), target.instances, fallback)
+    if situation is Situation.REST:
+        return rest
+    swept = evidence.at(member_cost(role, cost, situation), target.instances, fallback)
+    part = target.replacement_rate / take.SWEPT_REPLACEMENTS
+    return between(rest, swept, assumed(part, take.CHURN))
+
+
 def fallbacks_of(role: Role) -> tuple[Fallback, Fallback]:
     """Processor and bytes a second, while there are no series."""
     if role is Role.MEMBER:
--- a/limeridge/scale/shared_rows.py
+++ b/limeridge/scale/shared_rows.py
@@ -11,7 +11,7 @@
 from limeridge.scale import assumptions as take
 from limeridge.scale.configured import Configured, both, current
 from limeridge.scale.evidence import Evidence, Figure, assumed, resting_on, stated
-from limeridge.scale.instance_rows import READER_MODULES, VIEW_MODULES, each_interval
+from limeridge.scale.instance_rows import READER_MODULES, VIEW_MODULES, each_interval, sustained_cost
 from limeridge.scale.model import Budget, Message, Part, Row, State
 from limeridge.scale.quantities import (
     CHANGE,
@@ -68,10 +68,8 @@
         yield Row(Part.CONTROL_MACHINE, cost, needed, link, before=before)
     yield Row(
         Part.CONTROL_MACHINE,
-        "processor, if it is a voter, replacements one by one",
-        evidence.at(
-            member_cost(Role.VOTER, "processor", Situation.CHURN), target.instances, take.VOTER_PROCESSOR
-        ),
+        "processor, if it is a voter, under a day's replacements",
+        sustained_cost(target, evidence, Role.VOTER, "processor", Situation.CHURN, take.VOTER_PROCESSOR),
         Budget(take.MACHINE_CORES, take.MACHINE.text, take.MACHINE),
         VIEW_MODULES,
     )
--- a/tests/test_scale_fit.py
+++ b/tests/test_scale_fit.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from limeridge.scale.fit import LAWS, extrapolate, fit
+from limeridge.scale.fit import LAWS, extrapolate, fit, straight_line
 from limeridge.scale.results import Fit, Point
 
 SIZES = (50, 100, 200, 400, 600, 800)
@@ -74,6 +74,24 @@
     assert beyond.low < 10 + 2 * 3400 < beyond.high and beyond.value == pytest.approx(6810, rel=0.02)
 
 
+@FEW
+@given(st.sampled_from(list(LAWS)), st.floats(-2, 20), st.floats(0, 2), st.integers(0, 2**32))
+def test_an_estimate_lies_in_its_interval(law: str, ratio: float, noise: float, seed: int) -> None:
+    slope = ratio / growth(law, SIZES[-1]) if growth(law, SIZES[-1]) else 0.0
+    made = points(law, 1.0, slope, noise, seed)
+    for found in (fit(made), straight_line(made[:4])):
+        assert found is not None
+        for size in (60, 800, 3400):
+            estimate = extrapolate(found, size)
+            assert 0 <= estimate.low <= estimate.value <= estimate.high
+
+
+def test_a_line_goes_through_three_sizes_or_four() -> None:
+    assert straight_line(points("n", 1, 1, 0, 0)[:2]) is None
+    line = straight_line([Point(size, (3 + 2 * size,)) for size in SIZES[:3]])
+    assert line is not None and (line.law, line.slope) == ("n", pytest.approx(2))
+
+
 def test_a_falling_cost_is_not_taken_as_less_than_where_it_was_measured() -> None:
     falling = Fit("n", 100, -0.1, -0.11, -0.09, 0, 800)
     assert extrapolate(falling, 3400).value == extrapolate(falling, 800).value == pytest.approx(20)
