--- a/limeridge/scale/members_sweep.py
+++ b/limeridge/scale/members_sweep.py
@@ -106,6 +106,10 @@
         if text not in self.notes:
             self.notes.append(text)
 
+    def largest_size(self) -> int:
+        """Of those that gave any reading; 0 where none did."""
+        return max((size for points in self.by_key.values() for size in points), default=0)
+
     def series(self) -> tuple[Series, ...]:
         return tuple(
             Series(
@@ -521,7 +525,7 @@
             f"{shown} members: measured at the same time, each second of the fleet in {slowdown:g} s; "
             "figures are for a second of the fleet"
         )
-    readings.note(f"largest size reached: {max(sizes)} members")
+    readings.note(f"largest size reached: {readings.largest_size()} members")
     readings.note(
         f"runs of each size: {RUNS}, each with {REPEATS} windows at rest, {REPEATS} under churn and one of "
         "each loss and cut, for want of time on the machine; duty holder: at rest alone"
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -127,6 +127,12 @@
     assert cost["processor"] == [0.1] and cost["bytes out"] == [10.0]
 
 
+def test_the_largest_size_is_one_that_gave_a_reading() -> None:
+    readings = measured(FakeFleet([reading(0, 0, 0), reading(10, 1, 0)]))
+    members_sweep.add_notes((12, 24), readings)
+    assert "largest size reached: 12 members" in readings.notes
+
+
 # ---- counters
 
 
