--- a/limeridge/configuration/names.py
+++ b/limeridge/configuration/names.py
@@ -10,6 +10,7 @@
 from array import array
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import accumulate
 
 from limeridge.configuration.columns import PAGE_BITS, PAGE_MASK, PAGE_SIZE
 
@@ -22,7 +23,6 @@
 SHARD_MOST = 1 << TAG_BITS  # slots; the tag alone leads to a slot
 NUMBER_BITS = 20
 NUMBER_MASK = (1 << NUMBER_BITS) - 1
-ENCODING = ("utf-8", "surrogatepass")  # any text of Python's has a name
 NUMBERS_MOST = NUMBER_MASK  # a slot holds the number and one
 
 
@@ -41,24 +41,24 @@
         return self.blob[self.ends[place - 1] if place else 0 : self.ends[place]]
 
     def all(self) -> list[bytes]:
-        return [self.get(place) for place in range(PAGE_SIZE)]
+        names, begin = [], 0
+        for end in self.ends:
+            names.append(self.blob[begin:end])
+            begin = end
+        return names
 
 
 def name_page(names: list[bytes]) -> NamePage:
-    ends = array("I", bytes(4 * PAGE_SIZE))
-    end = 0
-    for place, name in enumerate(names):
-        end += len(name)
-        ends[place] = end
-    return NamePage(b"".join(names), ends)
+    """The page of PAGE_SIZE names, empty where a number has none."""
+    return NamePage(b"".join(names), array("I", accumulate(map(len, names))))
 
 
 def encoded_name(name: str) -> bytes:
-    return name.encode(*ENCODING)
+    return name.encode("utf-8", "surrogatepass")
 
 
 def decoded_name(name: bytes) -> str:
-    return name.decode(*ENCODING)
+    return name.decode("utf-8", "surrogatepass")
 
 
 class NameTable:
@@ -101,7 +101,8 @@
                 page, place = self.pages[number >> PAGE_BITS], number & PAGE_MASK
                 ends = page.ends
                 # NamePage.get in place: this is on the path of every request
-                if page.blob[ends[place - 1] if place else 0 : ends[place]] == name.encode(*ENCODING):
+                held = page.blob[ends[place - 1] if place else 0 : ends[place]]
+                if held == name.encode("utf-8", "surrogatepass"):
                     return number
             slot = (slot + 1) & mask
         return None
--- a/limeridge/peers/seeds.py
+++ b/limeridge/peers/seeds.py
@@ -1,4 +1,4 @@
-"""When the node list is asked for members, and what its answer is good for.
+"""When service discovery is asked for members, and what its answer is good for.
 
 It owns the waits of a reader, its budget, and the reading of an answer. It must never take an entry of the
 list for a member: an entry is an address to try, and the list may be old, empty, or half there.
@@ -88,6 +88,7 @@
 
 
 def address_of(word: str) -> Address | None:
+    """The address that `HOST:PORT` names; None where it is no IP address with a port."""
     host, _, port = word.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
--- a/limeridge/peers/shares.py
+++ b/limeridge/peers/shares.py
@@ -1,4 +1,5 @@
-"""Shares of a limit that is the fleet's: how many calls each instance may have in the ledger's hands.
+"""Shares of a limit that is the fleet's: how many calls each instance may have at the records
+service at one time.
 
 It owns the voter's memory of views, the holder's count of supports, and who offers a new view. It must
 never look at a clock, send anything or trust a timer: a share is worked out anew for each use, from times
@@ -52,16 +53,18 @@
     doubles: int = 1  # names that may be taken by two processes at once
     floor_share: float = 0.5  # of the limit, kept as floors
     lease: int = 3_000_000
-    longest: int = 2_000_000  # that a call may be in the ledger's hands, one given up or left behind included
+    longest: int = 2_000_000  # that a call may be at the records service, given up or left behind included
     settle: int = 500_000  # that the members must stand as they are before a view is made of them
     drift: float = 0.001  # of each clock
 
     @property
     def floor(self) -> int:
+        """Calls that each instance may have in hand without anybody's word."""
         return int(self.floor_share * self.limit / (self.capacity + self.doubles))
 
     @property
     def surplus(self) -> int:
+        """Calls that are dealt out above the floors."""
         return self.limit - self.floor * (self.capacity + self.doubles)
 
     @property
@@ -75,11 +78,14 @@
         return int((self.lease + self.longest) * (1 + self.drift) / (1 - self.drift)) + 1
 
     def votes(self, name: str) -> bool:
+        """Whether the member of this name is a voter."""
         return not self.voters or name in self.voters
 
 
 @dataclass(slots=True, frozen=True)
 class View:
+    """The lives that the surplus is dealt out to, under one epoch."""
+
     epoch: Epoch
     keys: frozenset[str]
     _lucky: frozenset[str] | None = field(default=None, compare=False, repr=False)  # worked out once
@@ -92,6 +98,7 @@
         return each + (key in self.lucky(over))
 
     def lucky(self, over: int) -> frozenset[str]:
+        """The `over` lives that get one call more than the others."""
         if self._lucky is None or len(self._lucky) != over:
             purpose = f"{self.epoch[0]}"
             first = sorted(self.keys, key=lambda key: (score_of(key, purpose), key))[:over]
@@ -112,6 +119,7 @@
         self.supported: dict[Epoch, tuple[View, int]] = {}  # and when last
 
     def silent(self, now: int) -> bool:
+        """Whether it answers nobody yet: what an earlier life under its name supported may be in use."""
         return now < self.born + self._hold
 
     def offered(self, view: View) -> bool:
@@ -139,6 +147,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Supported:
+    """The last answer of one voter; `asked_at` is when we asked for it, microseconds."""
+
     epoch: Epoch
     cap: int
     asked_at: int
@@ -149,7 +159,7 @@
 
     def __init__(self, terms: Terms, now: int, quiet: int) -> None:
         """`quiet`: microseconds from the start until the first call, in which what an earlier life under this
-        name left behind at the ledger is over."""
+        name left behind at the records service is over."""
         self.terms, self.begins = terms, now + quiet
         self._quorum, self._floor = terms.quorum, terms.floor  # asked for before each call
         self.supports: dict[str, Supported] = {}
@@ -202,6 +212,7 @@
         return held is None or held.epoch < epoch or 2 * (now - held.asked_at) >= self.terms.lease
 
     def highest(self) -> Epoch:
+        """The highest epoch that any voter answered under."""
         return max((each.epoch for each in self.supports.values()), default=NO_EPOCH)
 
 
--- a/limeridge/scale/configuration_sweep.py
+++ b/limeridge/scale/configuration_sweep.py
@@ -8,24 +8,28 @@
 
 from __future__ import annotations
 
-import argparse
-import shlex
-import sys
 import tempfile
 import time
 from pathlib import Path
 
-from limeridge.scale import bounds
+from limeridge.scale import revision_costs
 from limeridge.scale.below import LOOPBACK, Below
-from limeridge.scale.collect import Collector, Cost, Progress
+from limeridge.scale.collect import Collector, Cost
 from limeridge.scale.generator import Generator
 from limeridge.scale.load import LoadOrder, Outcome, too_late
-from limeridge.scale.real_instance import LIFTED, PLAIN, RealInstance, Refused, reload_window
-from limeridge.scale.results import Situation, Size, Sweep, Unit, write
+from limeridge.scale.meter import OwnTimer
+from limeridge.scale.real_instance import (
+    LIFTED,
+    MOST_TENANTS,
+    PLAIN,
+    RealInstance,
+    Refused,
+    need_of,
+    reload_window,
+)
+from limeridge.scale.results import Situation, Size, Unit
 from limeridge.scale.sweeps import Measured, Request, Sweeping
 
-NAME = "configuration"
-COMMAND = "python -m limeridge.scale.configuration_sweep"
 TENANTS = (1_000, 10_000, 50_000, 100_000, 240_000)
 REPEATS = 3
 SETTLE = 0.3  # seconds from the first answer until memory is read
@@ -34,18 +38,16 @@
 RELOAD_AT = 0.2  # seconds into the window
 RELOADED_BY = 12.0  # seconds that a reload may take
 TRIES = 2  # of a window that the machine was too busy for
-QUICK_TENANTS = (10, 100, 1_000)
-TENANTS_MOST = 1_000_000
-NEED_MEMORY, NEED_PROCESSES, NEED_DESCRIPTORS = 1 << 30, 4, 256  # bytes; counts
+QUICK_TENANTS = (10, 1_000)
 
 
 class ConfigurationSweep:
     """The lives of instances with ever more tenants, one after the other."""
 
-    def __init__(self, collector: Collector, below: Below, folder: Path) -> None:
-        self.collector, self.below, self.folder = collector, below, folder
+    def __init__(self, collector: Collector, below: Below, folder: Path, timer: OwnTimer) -> None:
+        self.collector, self.below, self.folder, self.timer = collector, below, folder, timer
         self.none_private = 0.0  # bytes held with no tenants, in this repeat
-        self.none_start = 0.0  # seconds that a start takes with no tenants, in this repeat
+        self.none_start: float | None = None  # seconds of a start with no tenants, in this repeat
         self.rest_share = 0.0  # of a core that the instance in hand uses under health checks alone
 
     def start(self, tenants: int) -> RealInstance:
@@ -61,28 +63,40 @@
 
     def take_reference(self) -> None:
         """What an instance without tenants costs, once a repeat."""
+        begun = time.monotonic()
         with self.start(0) as instance:
+            self.none_start = self._start_seconds(instance, begun)
             time.sleep(SETTLE)
-            self.none_private, self.none_start = instance.memory().private, instance.start_seconds
+            self.none_private = instance.memory().private
 
     def measure(self, tenants: int) -> None:
         """One life: its start, then at rest, then two changes of the file and reloads."""
         self.collector.progress(f"{tenants} tenants")
+        begun = time.monotonic()
         with self.start(tenants) as instance:
-            self._measure_start(instance)
+            self._measure_start(instance, begun)
             self._measure_rest(instance)
             self._measure_reload(instance, "first reload")
             self._measure_reload(instance, "second reload")
             self._add_memory(instance, "after two reloads", Situation.CHANGE)
             self._add_bytes("peak resident memory", Situation.CHANGE, tenants, instance.memory().peak)
-
-    def _measure_start(self, instance: RealInstance) -> None:
+        self._measure_revisions(tenants)
+
+    def _start_seconds(self, instance: RealInstance, begun: float) -> float | None:
+        """None where the rig's own timer came late since then."""
+        if not too_late(self.timer.since(begun)):
+            return instance.start_seconds
+        self.collector.note(f"machine too busy: left out a start with {instance.tenants} tenants")
+        return None
+
+    def _measure_start(self, instance: RealInstance, begun: float) -> None:
+        seconds, tenants = self._start_seconds(instance, begun), instance.tenants
+        if seconds is not None and self.none_start is not None:
+            more = seconds - self.none_start
+            self._add_seconds("start, more than without tenants", Situation.START, tenants, more)
         time.sleep(SETTLE)
-        tenants = instance.tenants
         self._add_bytes("file", Situation.START, tenants, instance.file_bytes)
         self._add_bytes("bytes to an instance", Situation.CHANGE, tenants, bytes_of_change(instance))
-        more = instance.start_seconds - self.none_start
-        self._add_seconds("start, more than without tenants", Situation.START, tenants, more)
         self._add_memory(instance, "after the start", Situation.START)
 
     def _measure_rest(self, instance: RealInstance) -> None:
@@ -144,6 +158,18 @@
             self.collector.note(f"{what}: {outcome.refused + outcome.unanswered} health checks unanswered")
         return bool(outcome.through)
 
+    def _measure_revisions(self, tenants: int) -> None:
+        """Bytes in any case; seconds where the rig's own timer came in time."""
+        begun = time.monotonic()
+        costs = revision_costs.measured(tenants)
+        for cost, reading in revision_costs.bytes_of(costs):
+            self.collector.add(cost, tenants, reading)
+        if too_late(self.timer.since(begun)):
+            self.collector.note(f"machine too busy: left out the seconds of revisions with {tenants} tenants")
+            return
+        for cost, reading in revision_costs.seconds_of(costs):
+            self.collector.add(cost, tenants, reading)
+
     # ---- readings
 
     def _add_memory(self, instance: RealInstance, when: str, situation: Situation) -> None:
@@ -162,17 +188,16 @@
     return instance.file_bytes
 
 
-def run(quick: bool, progress: Progress, sizes: tuple[int, ...] = ()) -> Sweep:
-    """The whole sweep in under 5 minutes; the quick one, of counts and bytes alone, in under 15 s. `sizes`:
-    tenants, the usual numbers where none are given."""
-    collector = Collector(NAME, COMMAND + (" --quick" if quick else ""), progress)
-    with Below() as below, tempfile.TemporaryDirectory() as folder:
-        sweep = ConfigurationSweep(collector, below, Path(folder))
-        if quick:
-            _run_quick(sweep, sizes or QUICK_TENANTS)
+def run(request: Request) -> Measured:
+    """The whole sweep in under 3 minutes; the quick one, of counts and bytes alone, in under 15 s."""
+    collector = Collector(request.progress)
+    with Below() as below, tempfile.TemporaryDirectory() as folder, OwnTimer() as timer:
+        sweep = ConfigurationSweep(collector, below, Path(folder), timer)
+        if request.quick:
+            _run_quick(sweep, request.sizes)
         else:
-            _run_full(sweep, sizes or TENANTS)
-    return collector.sweep()
+            _run_full(sweep, request.sizes)
+    return collector.measured()
 
 
 def _run_full(sweep: ConfigurationSweep, sizes: tuple[int, ...]) -> None:
@@ -192,51 +217,29 @@
 
 
 def _run_quick(sweep: ConfigurationSweep, sizes: tuple[int, ...]) -> None:
+    collector = sweep.collector
     for tenants in sizes:
-        sweep.collector.progress(f"{tenants} tenants")
+        collector.progress(f"{tenants} tenants")
         with sweep.start(tenants) as instance:
             file, change = instance.file_bytes, bytes_of_change(instance)
             for name, size in (("file", file), ("bytes to an instance", change)):
-                sweep.collector.add(Cost(name, Situation.CHANGE, Size.TENANTS, Unit.BYTES), tenants, size)
+                collector.add(Cost(name, Situation.CHANGE, Size.TENANTS, Unit.BYTES), tenants, size)
             instance.put_file()
             taken = instance.timed_reload(RELOADED_BY) is not None
+        for cost, reading in revision_costs.bytes_of(revision_costs.measured(tenants)):
+            collector.add(cost, tenants, reading)
         cost = Cost("reloads told in the log", Situation.CHANGE, Size.TENANTS, Unit.COUNT)
-        sweep.collector.add(cost, tenants, int(taken))
-
-
-def needs(_: Request) -> bounds.Need:
-    """An instance, what stands below it and the generator, whatever the size."""
-    return bounds.Need(NEED_MEMORY, NEED_PROCESSES, NEED_DESCRIPTORS)
-
-
-def measure(request: Request) -> Measured:
-    """The sweep as the command runs it."""
-    sweep = run(request.quick, request.progress, request.sizes)
-    return Measured(sweep.series, sweep.notes)
+        collector.add(cost, tenants, int(taken))
+        collector.check(taken, f"{tenants} tenants: the log tells no reload")
 
 
 SWEEP = Sweeping(
-    name=NAME,
+    name="configuration",
     about="what the configuration of so many tenants costs an instance",
     sizes=TENANTS,
     quick_sizes=QUICK_TENANTS,
     least=1,
-    most=TENANTS_MOST,
-    run=measure,
-    need=needs,
+    most=MOST_TENANTS,
+    run=run,
+    need=need_of,
 )
-
-
-def main() -> None:
-    """Writes the result to the file that is named."""
-    parser = argparse.ArgumentParser(COMMAND, description=__doc__)
-    parser.add_argument("--out", type=Path, required=True, metavar="FILE")
-    parser.add_argument("--quick", action="store_true", help="small sizes, counts and bytes alone")
-    words = parser.parse_args()
-    sweep = run(words.quick, lambda line: print(line, file=sys.stderr, flush=True))
-    write(words.out, sweep)
-    print(shlex.quote(str(words.out)), f"{sweep.seconds:.0f} s")
-
-
-if __name__ == "__main__":
-    main()
