Write the page of capacity from the trials that there are, each figure marked as one

Trials under docs/results/scale/trials count where there is no result, and the page says of each of their figures that it is of a trial.

--- a/limeridge/scale/capacity_tables.py
+++ b/limeridge/scale/capacity_tables.py
@@ -10,6 +10,7 @@
 from limeridge.scale.findings import all_findings
 from limeridge.scale.model import NONE_YET, Model, Part, Row
 from limeridge.scale.quantities import ratio_text, seconds
+from limeridge.scale.references import CONFIGURATION
 from limeridge.scale.results import Sweep
 from limeridge.scale.target import SENTENCES, Target, caller_readings, counted_reading
 
@@ -26,7 +27,7 @@
 def sections(model: Model, evidence: Evidence) -> dict[str, Lines]:
     """All generated parts of the page."""
     made = {
-        "verdict": verdict(model),
+        "verdict": verdict(model) + unswept(evidence),
         "over budget": over_budget(model),
         "target": target_table(model.target),
         "callers": caller_table(model.target),
@@ -111,6 +112,18 @@
     ]
 
 
+def unswept(evidence: Evidence) -> Lines:
+    """What the rows of the configuration are of, while no sweep of the code that changes it live has run."""
+    if evidence.runs_of(CONFIGURATION):
+        return []
+    return [
+        "",
+        "No sweep of the configuration has run since tenants can change in a running process "
+        "(`configuration.application`): but for the time until a change is in force, its rows are those of "
+        "the code before.",
+    ]
+
+
 def over_budget(model: Model) -> Lines:
     """Rows over budget, worst first; sums are left out."""
     rows = [row for row in model.over_budget if not row.total]
@@ -126,7 +139,7 @@
                 ratio_cell(row),
                 before_cell(row),
                 modules_cell(row.mechanism),
-                row.needed.basis.value,
+                row.needed.how_known,
             )
             for row in rows
         ),
@@ -200,7 +213,7 @@
                 ratio_cell(row),
                 before_cell(row),
                 modules_cell(row.mechanism),
-                row.needed.basis.value,
+                row.needed.how_known,
                 rests_on(row.needed.sources, row.assumptions),
             )
             for row in rows
@@ -269,7 +282,7 @@
 def mark(figure: Figure) -> str:
     """How a figure in running text is known, where it is not by arithmetic alone."""
     plain = (Basis.STATED, Basis.ASSUMED)
-    return "" if figure.basis in plain else f" ({figure.basis.value})"
+    return "" if figure.basis in plain else f" ({figure.how_known})"
 
 
 def finding_table(target: Target, evidence: Evidence) -> Lines:
@@ -285,7 +298,8 @@
     for basis in Basis:
         rows = [f"{row.part.value}: {row.cost}" for row in model.rows if row.needed.basis is basis]
         named = f": {'; '.join(rows)}" if basis in LISTED else ""
-        lines.append(f"- {len(rows)} rows are {basis.value}{named}")
+        if rows:
+            lines.append(f"- {len(rows)} rows are {basis.value}{named}")
     return lines
 
 
--- a/limeridge/scale/configured.py
+++ b/limeridge/scale/configured.py
@@ -22,6 +22,7 @@
 from limeridge.scale.results import Situation
 from limeridge.scale.target import Target
 
+UNCHANGED = (FILE, BYTES_OF_CHANGE)  # the same file goes to instances, before and after
 ONE_CHANGE = Quantity(1, CHANGE)
 ONE_REPLACEMENT_EACH = Quantity(1, REPLACEMENT / INSTANCE)
 
@@ -37,6 +38,8 @@
     def cost(self, named: tuple[str, Situation], fallback: Fallback) -> Figure:
         """One cost of the sweep at the target's tenants."""
         reference = configuration_cost(*named, before=self.before)
+        if named in UNCHANGED and self.evidence.found(reference) is None:
+            reference = configuration_cost(*named, before=True)
         return self.evidence.at(reference, self.target.tenants, fallback)
 
     def _with_routes(self, of_tenants: Figure) -> Figure:
@@ -125,8 +128,8 @@
 
 
 def current(target: Target, evidence: Evidence) -> Configured:
-    """The newest state of the code that there is a result of."""
-    return Configured(target, evidence, before=CONFIGURATION not in evidence.sweeps)
+    """The newest state of the code that there is a run of."""
+    return Configured(target, evidence, before=not evidence.runs_of(CONFIGURATION))
 
 
 def both(
--- a/limeridge/scale/evidence.py
+++ b/limeridge/scale/evidence.py
@@ -8,7 +8,7 @@
 import enum
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from statistics import fmean
 
@@ -25,6 +25,7 @@
     results.Unit.PACKETS_PER_SECOND: MESSAGE / SECOND,
     results.Unit.COUNT: NO_UNIT,
 }
+SWEEPS = ("members", "request_path", "configuration", "configuration-before")
 FIT_TOLERANCE = 1e-6  # relative, between a stored fit and the one that the points give today
 
 
@@ -81,6 +82,11 @@
     sources: tuple[Reference, ...] = ()
     assumptions: tuple[Assumption, ...] = ()
 
+    @property
+    def how_known(self) -> str:
+        """The basis, for readers."""
+        return f"{self.basis.value}, of a trial" if TRIAL in self.assumptions else self.basis.value
+
     def __add__(self, other: Figure) -> Figure:
         return self._with(other, lambda one, two: one + two, "+")
 
@@ -164,8 +170,15 @@
 )
 
 
+TRIALS = "trials"  # the folder of runs that were partial, or on a busy machine
+TRIAL = Assumption(
+    "trial",
+    "the run was a trial, partial or on a busy machine; its notes say how far its figures can be trusted",
+)
+
+
 class Evidence:
-    """The results of a folder, by file name without the suffix."""
+    """The results of a folder, by file name without the suffix; those of trials behind the trials' folder."""
 
     def __init__(self, sweeps: dict[str, Sweep]) -> None:
         self.sweeps = sweeps
@@ -175,20 +188,29 @@
         """All results of a folder. Raises UnusableResult for one that can't be used."""
         if not folder.is_dir():
             raise UnusableResult(f"{folder}: expected a folder of results of sweeps")
-        return cls({path.stem: results.read(path) for path in sorted(folder.glob("*.json"))})
-
-    def series(self, reference: Reference) -> Series | None:
-        """The series that a reference names, where it has readings."""
-        sweep = self.sweeps.get(reference.sweep)
-        for series in sweep.series if sweep is not None else ():
-            if (series.key, series.against) == (reference.key, reference.against) and series.points:
-                return series
+        paths = [*sorted(folder.glob("*.json")), *sorted((folder / TRIALS).glob("*.json"))]
+        return cls({str(path.relative_to(folder).with_suffix("")): results.read(path) for path in paths})
+
+    def runs_of(self, name: str) -> list[str]:
+        """The result of a sweep and its trials, the best first.
+
+        A trial has the sweep's name and a word more; the longest name of a sweep that fits counts.
+        """
+        trials = [each for each in self.sweeps if each.startswith(f"{TRIALS}/") and _swept(each) == name]
+        return [name, *trials] if name in self.sweeps else trials
+
+    def found(self, reference: Reference) -> tuple[Reference, Series] | None:
+        """The series that a reference names, where it has readings, with the run that it is of."""
+        for run in self.runs_of(reference.sweep):
+            for series in self.sweeps[run].series:
+                if (series.key, series.against) == (reference.key, reference.against) and series.points:
+                    return replace(reference, sweep=run), series
         return None
 
     def at(self, reference: Reference, size: Quantity, fallback: Fallback) -> Figure:
         """The cost that a series gives at a size; the fallback where there is no such series."""
-        series = self.series(reference)
-        if series is None:
+        found = self.found(reference)
+        if found is None:
             return Figure(
                 fallback.value,
                 fallback.value,
@@ -198,12 +220,15 @@
                 (),
                 (fallback.assumption,),
             )
-        return figure_at(series, reference, size.value)
+        source, series = found
+        figure = figure_at(series, source, size.value)
+        return resting_on(figure, TRIAL) if source.sweep.startswith(f"{TRIALS}/") else figure
+
 
-    def growth(self, reference: Reference) -> Fit | None:
-        """The growth law of a series, where there is one."""
-        series = self.series(reference)
-        return None if series is None else law_of(series)
+def _swept(trial: str) -> str:
+    """The name of the sweep that a trial is of."""
+    stem = trial.removeprefix(f"{TRIALS}/")
+    return max((name for name in SWEEPS if stem == name or stem.startswith(f"{name}-")), key=len, default="")
 
 
 def law_of(series: Series) -> Fit | None:
--- a/limeridge/scale/findings.py
+++ b/limeridge/scale/findings.py
@@ -7,7 +7,7 @@
 
 from limeridge.config import SETTINGS
 from limeridge.scale import assumptions as take
-from limeridge.scale.configured import Configured, current
+from limeridge.scale.configured import Configured
 from limeridge.scale.evidence import Basis, Evidence, Figure
 from limeridge.scale.quantities import INSTANCE, Quantity
 from limeridge.scale.references import LONGEST_TURN, MEMORY_AFTER_START, RELOAD_TIME, member_cost
@@ -67,7 +67,7 @@
     )
     yield Finding(
         "SIGHUP takes over three addresses, the time to stop and the cores alone",
-        "tenants change in a running process" if current(target, evidence) != was else "so it is",
+        "tenants, quotas and limits change in a running process since (`configuration.application`)",
         "the brain was built for one set of tenants, classes and limits",
     )
     yield Finding(
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -187,18 +187,19 @@
         ("memory of the configuration, after two changes", lambda state: state.memory, memory, tables),
         ("longest turn while the configuration is read", lambda state: state.longest_turn, turn, tables),
         ("processor of changes, each read whole", lambda state: state.change_processor, processor, tables),
-        (
-            "time until a change is in force everywhere",
-            lambda state: state.time_in_force,
-            Budget(target.in_force, TABLES_SENTENCE),
-            (),
-        ),
         ("bytes a second of changes", lambda state: state.change_traffic, traffic, ()),
         ("bytes a second of the whole at replacements", lambda state: state.start_traffic, traffic, ()),
     )
     for cost, figure_of, budget, modules in costs:
         needed, before = both(target, evidence, figure_of)
         yield Row(Part.CONTROL, cost, needed, budget, modules, before)
+    yield Row(
+        Part.CONTROL,
+        "time until a change is in force everywhere",
+        Configured(target, evidence).time_in_force,
+        Budget(target.in_force, TABLES_SENTENCE),
+        before=Configured(target, evidence, before=True).time_in_force,
+    )
 
 
 def total_rows(target: Target, evidence: Evidence) -> Iterator[Row]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,6 +4,7 @@
 
 import importlib.util
 import re
+from dataclasses import replace
 from pathlib import Path
 
 import click
@@ -16,7 +17,7 @@
 from limeridge.scale import evidence as evidence_module
 from limeridge.scale.capacity import capacity
 from limeridge.scale.charts import write_chart
-from limeridge.scale.evidence import Basis, Evidence, Fallback, Figure, Reference
+from limeridge.scale.evidence import TRIAL, Basis, Evidence, Fallback, Figure, Reference
 from limeridge.scale.fit import fit
 from limeridge.scale.model import Model, Part, Row
 from limeridge.scale.quantities import BYTE, CORE, SECOND, MixedUnits, Quantity, microseconds, text
@@ -61,6 +62,8 @@
     series: dict[str, list[Series]] = {}
     units = {unit: given for given, unit in evidence_module.UNITS.items()}
     for reference, (size, fallback) in asking.asked.items():
+        if reference.sweep == CONFIGURATION and not live:
+            continue
         reached = fallback.value.value * (factors or {}).get(reference, 1.0)
         points = tuple(
             Point(size.value * part, tuple(reached * part * noise for noise in (0.99, 1.0, 1.01)))
@@ -183,17 +186,40 @@
 
 
 def test_before_stands_beside_after_once_both_are_measured() -> None:
-    cost = "time until a change is in force everywhere"
+    cost = "memory of the configuration, after two changes"
     before = row_of(capacity(USERS_TARGET, made_up(live=False)), Part.CONTROL, cost)
     after = row_of(capacity(USERS_TARGET, made_up()), Part.CONTROL, cost)
     assert before.before is None and after.ratio_before == pytest.approx(before.ratio)
 
 
+def test_a_change_of_which_no_process_takes_note_waits_for_the_replacements() -> None:
+    row = row_of(
+        capacity(USERS_TARGET, Evidence({})), Part.CONTROL, "time until a change is in force everywhere"
+    )
+    assert row.before is not None and row.before.value.value == pytest.approx(3_400 / 14_000 * 86_400)
+    assert 3_600 < row.needed.value.value < row.before.value.value
+
+
+def test_a_trial_counts_where_there_is_no_result_and_says_so() -> None:
+    sweeps = made_up().sweeps
+    reference = member_cost(Role.VOTER, "processor")
+    trial = Evidence({"trials/members-busy": sweeps["members"]})
+    both = Evidence({"members": sweeps["members"], "trials/members-busy": sweeps["members"]})
+    for given, run, known in ((trial, "trials/members-busy", "of a trial"), (both, "members", "")):
+        row = row_of(capacity(USERS_TARGET, given), Part.VOTER, "processor, at rest")
+        assert row.needed.sources == (replace(reference, sweep=run),)
+        assert row.needed.how_known.endswith(known) and (TRIAL in row.needed.assumptions) == bool(known)
+    assert (
+        Evidence({"trials/configuration-before-busy": sweeps["configuration"]}).runs_of(CONFIGURATION) == []
+    )
+
+
 def test_an_extrapolation_of_more_than_eight_times_is_marked() -> None:
     evidence = made_up()
     reference = member_cost(Role.MEMBER, "memory")
-    series = evidence.series(reference)
-    assert series is not None
+    found = evidence.found(reference)
+    assert found is not None
+    series = found[1]
     bases = [
         evidence_module.figure_at(series, reference, size).basis for size in (850, 800, 3_400, 6_800, 6_801)
     ]
