--- a/limeridge/scale/fit.py
+++ b/limeridge/scale/fit.py
@@ -12,7 +12,7 @@
 
 import numpy as np
 from numpy.typing import NDArray
-from scipy.stats import t as student_t  # type: ignore[import-untyped]
+from scipy.special import stdtrit  # type: ignore[import-untyped]  # quantiles of Student's t
 
 from limeridge.scale.results import Fit, Point
 
@@ -171,7 +171,7 @@
     variance = float(np.sum(weights * errors**2)) / freedom
     centre = float(np.average(growth, weights=weights))
     spread = float(np.sum(weights * (growth - centre) ** 2))
-    reach = float(student_t.ppf((1 + CONFIDENCE) / 2, freedom)) * float(np.sqrt(variance / spread))
+    reach = float(stdtrit(freedom, (1 + CONFIDENCE) / 2)) * float(np.sqrt(variance / spread))
     return chosen.slope - reach, chosen.slope + reach
 
 
