--- a/limeridge/scale/configuration_sweep.py
+++ b/limeridge/scale/configuration_sweep.py
@@ -19,11 +19,8 @@
 from limeridge.scale.load import LoadOrder, Outcome, too_late
 from limeridge.scale.meter import OwnTimer
 from limeridge.scale.real_instance import (
-    LIFTED,
     MOST_TENANTS,
-    PLAIN,
     RealInstance,
-    Refused,
     need_of,
     reload_window,
 )
@@ -51,15 +48,8 @@
         self.rest_share = 0.0  # of a core that the instance in hand uses under health checks alone
 
     def start(self, tenants: int) -> RealInstance:
-        """An instance, with the bound on tenants lifted in its process where it refuses so many."""
-        try:
-            return RealInstance(self.folder, self.below.ports, tenants, PLAIN)
-        except Refused as refused:
-            self.collector.note(
-                f"{tenants} tenants are refused ({refused}); measured with the bound lifted in the measured "
-                f"process alone"
-            )
-            return RealInstance(self.folder, self.below.ports, tenants, LIFTED)
+        """Raises Refused where the configuration does not take so many."""
+        return RealInstance(self.folder, self.below.ports, tenants)
 
     def take_reference(self) -> None:
         """What an instance without tenants costs, once a repeat."""
--- a/limeridge/scale/real_instance.py
+++ b/limeridge/scale/real_instance.py
@@ -35,7 +35,6 @@
 MOST_TENANTS = 1_000_000
 RIG_MEMORY, TENANT_MEMORY = 300 << 20, 2_500  # bytes of all processes, and of each tenant beside them
 RIG_PROCESSES, RIG_DESCRIPTORS = 4, 600
-PLAIN, LIFTED = "limeridge", "limeridge.scale.lifted"
 
 
 class Refused(Exception):
@@ -133,7 +132,7 @@
     answer in time.
     """
 
-    def __init__(self, folder: Path, below: Ports, tenants: int, module: str = PLAIN) -> None:
+    def __init__(self, folder: Path, below: Ports, tenants: int) -> None:
         self.below, self.tenants, self.port = below, tenants, free_port()
         self.file, self.log = folder / "instance.json", folder / "instance.log"
         self.changes = 0
@@ -142,7 +141,7 @@
         begun = time.monotonic()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", module],
+                [sys.executable, "-m", "limeridge"],
                 env=os.environ | {"BALANCER_CONFIG": str(self.file)},
                 stdout=log,
                 stderr=subprocess.PIPE,
