--- a/limeridge/scale/evidence.py
+++ b/limeridge/scale/evidence.py
@@ -168,6 +168,11 @@
     "proportional",
     "where a series has one or two sizes, its cost grows in proportion beyond the larger one",
 )
+BOUNDED_WORK = Assumption(
+    "bounded work",
+    "what a request meets takes bounded work whatever the number of tenants known, a look-up by hash or one "
+    "step of a reading: where a series has one or two sizes, its cost stays beyond the larger one",
+)
 
 
 TRIALS = "trials"  # the folder of runs that were partial, or on a busy machine
@@ -226,8 +231,24 @@
                 (fallback.assumption,),
             )
         source, series = found
-        figure = figure_at(series, source, size.value)
-        return resting_on(figure, TRIAL) if source.sweep.startswith(f"{TRIALS}/") else figure
+        return _marked(figure_at(series, source, size.value), source)
+
+    def at_bounded_work(self, reference: Reference, size: Quantity, fallback: Fallback) -> Figure:
+        """The same for a cost that no size is taken to raise where it has too few sizes to tell."""
+        found = self.found(reference)
+        if found is None or straight_line(found[1].points) is not None or law_of(found[1]) is not None:
+            return self.at(reference, size, fallback)
+        source, series = found
+        largest = max(series.points, key=lambda point: point.size)
+        figure = _mean_of(largest, series, source)
+        if size.value > largest.size:
+            figure = replace(figure, basis=Basis.ASSUMED, assumptions=(BOUNDED_WORK,))
+        return _marked(figure, source)
+
+
+def _marked(figure: Figure, source: Reference) -> Figure:
+    """The figure, which says so where it is of a trial."""
+    return resting_on(figure, TRIAL) if source.sweep.startswith(f"{TRIALS}/") else figure
 
 
 def _swept(trial: str) -> str:
--- a/limeridge/scale/instance_rows.py
+++ b/limeridge/scale/instance_rows.py
@@ -78,18 +78,18 @@
     """Added time against each size that it may grow with, and the processor of the load."""
     reading = counted_reading(target)
     lost = target.rate_with_region_lost
+    known = evidence.at_bounded_work(ADDED_P99, target.tenants, take.ADDED_TIME)
+    cost = f"time added at p99 with {target.tenants} known"
+    yield Row(Part.PATH, cost, known, added_time(target), PATH_MODULES)
     sizes = (
-        ("with {} known", ADDED_P99, target.tenants, None),
         ("at {}, one region lost", ADDED_P99_BY_RATE, lost, take.EVEN_LOAD),
         ("with {}", ADDED_P99_BY_CONNECTIONS, reading.connections, take.CALLERS),
     )
     for what, reference, size, assumption in sizes:
-        needed = evidence.at(reference, size, take.ADDED_TIME)
-        if assumption is not None:
-            needed = resting_on(needed, assumption)
+        needed = resting_on(evidence.at(reference, size, take.ADDED_TIME), assumption)
         cost = f"time added at p99 {what.format(size)}"
         yield Row(Part.PATH, cost, needed, added_time(target), PATH_MODULES)
-    slowest = evidence.at(ADDED_BY_RELOAD, target.tenants, take.ADDED_BY_RELOAD)
+    slowest = evidence.at_bounded_work(ADDED_BY_RELOAD, target.tenants, take.ADDED_BY_RELOAD)
     yield Row(
         Part.PATH,
         "longest time added while the configuration is read anew",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,15 +15,16 @@
 from limeridge.brain import IDLE_LIMITS
 from limeridge.cli.capacity import OPTIONS, PAGE, RESULTS_FOLDER, plan, report
 from limeridge.scale import evidence as evidence_module
+from limeridge.scale.assumptions import ADDED_TIME
 from limeridge.scale.capacity import capacity
 from limeridge.scale.charts import write_chart
-from limeridge.scale.evidence import TRIAL, Basis, Evidence, Fallback, Figure, Reference
+from limeridge.scale.evidence import BOUNDED_WORK, TRIAL, Basis, Evidence, Fallback, Figure, Reference
 from limeridge.scale.fit import fit
 from limeridge.scale.model import Model, Part, Row
 from limeridge.scale.quantities import BYTE, CORE, SECOND, MixedUnits, Quantity, microseconds, text
-from limeridge.scale.references import CONFIGURATION, member_cost
+from limeridge.scale.references import ADDED_P99, CONFIGURATION, member_cost
 from limeridge.scale.report import BEGIN, END, first_difference, generated
-from limeridge.scale.results import SCHEMA, Point, Role, Series, Sweep, write
+from limeridge.scale.results import SCHEMA, Point, Role, Series, Sweep, Unit, write
 from limeridge.scale.target import (
     IDLE_MOST,
     SCALABLE,
@@ -354,3 +355,20 @@
 def test_results_survive_the_way_through_a_file(folder: Path) -> None:
     assert Evidence.read(folder).sweeps == made_up().sweeps
     assert generated(ROOT / PAGE, Evidence.read(folder)) == generated(ROOT / PAGE, made_up())
+
+
+def test_bounded_work_stays_beyond_one_or_two_sizes_and_follows_a_line_through_more() -> None:
+    def figure(sizes: tuple[float, ...]) -> Figure:
+        points = tuple(Point(size, (size / 1e6,)) for size in sizes)
+        series = Series(
+            ADDED_P99.cost, ADDED_P99.role, ADDED_P99.situation, ADDED_P99.against, Unit.SECONDS, points
+        )
+        evidence = Evidence({ADDED_P99.sweep: sweep(ADDED_P99.sweep, [series])})
+        return evidence.at_bounded_work(ADDED_P99, USERS_TARGET.tenants, ADDED_TIME)
+
+    few = figure((1_000, 2_000))
+    assert few.value.value == pytest.approx(0.002)
+    assert few.basis is Basis.ASSUMED and BOUNDED_WORK in few.assumptions
+    more = figure((1_000, 2_000, 3_000))
+    assert more.value.value == pytest.approx(USERS_TARGET.tenants.value / 1e6)
+    assert BOUNDED_WORK not in more.assumptions
