--- a/limeridge/scale/charts.py
+++ b/limeridge/scale/charts.py
@@ -87,8 +87,9 @@
         sizes = [point.size for point in series.points]
         means = [fmean(point.readings) for point in series.points]
         spread = [
-            [mean - min(point.readings) for mean, point in zip(means, series.points, strict=True)],
-            [max(point.readings) - mean for mean, point in zip(means, series.points, strict=True)],
+            # The mean of equal readings may be rounded to just beside them.
+            [max(0.0, mean - min(point.readings)) for mean, point in zip(means, series.points, strict=True)],
+            [max(0.0, max(point.readings) - mean) for mean, point in zip(means, series.points, strict=True)],
         ]
         label = f"{series.role.value}, {series.situation.value}"
         axes.errorbar(sizes, means, yerr=spread, fmt="o", markersize=3, color=color, label=label)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,6 +6,7 @@
 import re
 from dataclasses import replace
 from pathlib import Path
+from statistics import fmean
 
 import click
 import orjson
@@ -357,6 +358,15 @@
     assert generated(ROOT / PAGE, Evidence.read(folder)) == generated(ROOT / PAGE, made_up())
 
 
+def test_equal_readings_whose_mean_is_rounded_down_have_a_chart(tmp_path: Path) -> None:
+    reading = 5564.543226524334
+    points = (Point(20, (reading,) * 3), Point(40, (reading,) * 3))
+    assert fmean(points[0].readings) < reading
+    series = Series("memory", Role.MEMBER, ADDED_P99.situation, ADDED_P99.against, Unit.BYTES, points)
+    write_chart(tmp_path / "equal.svg", sweep("equal", [series]), frozenset({"memory"}))
+    assert "<svg" in (tmp_path / "equal.svg").read_text()
+
+
 def test_bounded_work_stays_beyond_one_or_two_sizes_and_follows_a_line_through_more() -> None:
     def figure(sizes: tuple[float, ...]) -> Figure:
         points = tuple(Point(size, (size / 1e6,)) for size in sizes)
