Keep the calls of all lives of an instance within one share by a token bucket

Cause: a cold start was charged for the life before as if that had spread its calls evenly over the window, though all of them may have come last; a share of 1.11 and more was charged nothing, while calls of the killed life lingered beside the new ones.

Mend: each life keeps to a token bucket of time in hand, whose depth and rate hang on the settings alone and add up to the share over a window. A successor starts with an empty one when nothing of the life before lingers, so the sum of both is the share at any moment, for any ending and any number of lives.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -46,7 +46,9 @@
 CALL_STEP = 0.05
 CALL_SLACK = 2  # least time-out of a call, of what nine in ten took
 CALL_LOST = 3  # times what nine in ten took: one without an answer by then is taken for lost
-CALL_MOST = 0.5  # of the room in the window that one call may wait for
+CALL_MOST = 0.9  # of the longest call that a share under one ever has room for: none waits for more
+CALL_LONGEST = 0.25  # of a window's share under one, that one call may take beside its lingering
+CALL_MARGIN = 0.02  # of the share, for calls that come to the records service and leave it late
 STOP_MARGIN = 200_000  # before the process is killed
 ADVICE = (0.1, 0.7)  # of the longest time to come back after
 WELCOME_FLOOR = 0.1  # a dead server says nothing, and must not look the better for it
@@ -181,7 +183,7 @@
         self.books = Books(settings.get("instance.run_factor", 1.0), settings.get("instance.kb_per_key", 0.0))
         self.parked, self.repeats, self.doomed = deque[Txn](), deque[Txn](), deque[Txn]()
         self.calls = Calls(
-            settings.get("instance.calls_over", 5_000_000), settings.get("instance.linger", 200_000)
+            settings.get("instance.calls_over", 5_000_000), settings.get("instance.linger", 200_000), now
         )
         self.shares = Buckets()
         self.callers, self.storm_until = Callers(CALLERS_KEPT, VOTES), now
@@ -193,7 +195,10 @@
         self.welcome = self._warmth() if settings.get("instance.cold") else 1.0
         self.speak_at, self.turned_away, self.read, self.unread, self.behind = now, 0, 0, 0.0, 0
         self.healthy, self.said, self.tries, self.later, self.unmet = False, -1.0, 0.0, 0.0, False
-        self.call_most, self.call_floor = self._bounds(float(settings.get("instance.calls_out", 0.5)))
+        share = float(settings.get("instance.calls_out", 0.5))
+        self.call_most, self.call_floor = self._bounds(share)
+        self.calls.refill(now, *self._bucket(share))
+        self._charge_life_before()
         self.call_cap, self.calls_bound, self.calls_dealt = self.call_floor, False, False
         self.short, self.short_at = 0.0, now - CALL_STALE  # the loss of a call that lately found no room
         self.stream: Iterator[Decision] | None = None
@@ -204,6 +209,26 @@
         most, least = CALL_SHARE * share, 2.5 * self.calls.linger / self.calls.window
         return most, min(most, max(CALL_FLOOR * share, 1.0 if most >= 1 else least))
 
+    def _bucket(self, share: float) -> tuple[float, float]:
+        """Depth, microseconds, and rate of the bucket of a share under one call. Over a whole window both add
+        up to the share. They hang on the settings alone: the next life counts on this one's."""
+        window, linger = self.calls.window, self.calls.linger
+        whole = (1 - CALL_MARGIN) * share * window
+        depth = (1 - CALL_SHARE) * whole
+        longest = linger + max(TICK, CALL_LONGEST * whole)
+        if longest < min(whole, window):
+            # The least depth from which one call can be so long, the bucket filling meanwhile.
+            depth = max(depth, longest * (window - whole) / (window - longest))
+        return depth, (whole - depth) / window
+
+    def _charge_life_before(self) -> None:
+        """A restart has no second share: the life before may have used all that its bucket allows in its last
+        moments, and every life keeps to the same bucket. What is left to this one up to any moment of its
+        first window is what such a bucket is filled with, from when no call of the life before lingers."""
+        bucket = self.calls.bucket
+        filled = bucket.rate * (self.now - self.started - self.calls.linger)
+        bucket.level = min(bucket.level, filled) if self.cold else bucket.depth
+
     # ---- inputs: bookkeeping only
 
     def share(self, now: int, calls: int) -> None:
@@ -230,13 +255,17 @@
         share, idle = settings.get("instance.calls_out", 0.5), settings.get("instance.idle", 0)
         if share != old.get("instance.calls_out", 0.5) and not self.calls_dealt:
             self._bound_calls(*self._bounds(float(share)))
+            self.calls.refill(now, *self._bucket(float(share)))
         if idle != old.get("instance.idle", 0):
             self.idle_limit = idle
 
     def booted(self, now: int, cold: bool, born: int) -> None:
         """The machine came up at `born`, and says whether cold: its speed grows from then on. What was read
         before stays as it is."""
-        self.now, self.cold, self.born = now, cold, born
+        self.now, self.born = now, born
+        if cold != self.cold:
+            self.cold = cold
+            self._charge_life_before()
         self.welcome = min(self.welcome, self._warmth()) if cold else 1.0
         self.speak_at = now
 
@@ -658,20 +687,20 @@
         """Rule 4 below: the own share of calls, lingering ones included. 0 = no room, else a time-out."""
         time_out, kind = max(TICK, min(txn.sla_due, txn.due) - self.now), self.products[txn.product]
         if self.call_most >= 1:
+            if self.cold and self.now - self.started < self.calls.linger:
+                return 0  # the calls of the life before may still linger, beside a whole share of new ones
             usual = CALL_LOST * kind.call_times.quantile(0.9) * kind.terms.sla_time
             lost = int(max(TARGET * txn.terms.sla_time, usual))
             if txn.calls_made < 2 and kind.kind == INQUIRY and lost + txn.terms.target < time_out:
                 time_out = lost  # against no answer ever: time is left for another
             return time_out if self.calls.in_hand(self.now) + 1 <= self.call_cap else 0
-        # A share under one call: the mean over the window must still hold if every call runs to its time-out.
-        room = int(self.call_cap * self.calls.window)
-        spare = room - self.calls.time_taken(self.now) - self.calls.linger
-        if self.cold:  # against a restart's second share: the life before may have used one in this window
-            spare -= int(room * max(0.0, 1 - (self.now - self.started) / self.calls.window))
+        # A share under one call: it must still hold if every call runs to its time-out.
+        room = int(self.call_cap * self.calls.window) - self.calls.linger
+        spare = min(room - self.calls.time_taken(self.now), int(self.calls.longest(self.now)))
         # Against calls cut off before a slow answer can come, which cost room and linger for nothing: what
         # was cut off counts as a call of that length, so the least time-out doubles until answers come.
         least = max(TICK, int(CALL_SLACK * kind.call_times.quantile(0.9) * kind.terms.sla_time))
-        fits = spare >= min(time_out, least, CALL_MOST * room)
+        fits = 0 < spare >= min(time_out, least, CALL_MOST * min(room, self.calls.longest_ever()))
         return min(time_out, max(min(spare, least), spare // 2)) if fits else 0  # half is left for the next
 
     def _over_share(self, txn: Txn) -> bool:
--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -9,10 +9,38 @@
 import itertools
 import math
 from collections import deque
+from collections.abc import Sequence
 
 from limeridge.interface import Stage, Txn
 
 
+class TimeBucket:
+    """A token bucket of time in hand, in microseconds: each call in hand drains it as time passes, and it
+    fills by `rate` a microsecond up to `depth`. While it does not run dry, no interval of length x sees more
+    than `depth + rate * x` in hand."""
+
+    def __init__(self, now: int) -> None:
+        self.depth, self.rate, self.level = 0.0, 0.0, 0.0
+        self.at = now
+
+    def pass_time(self, now: int, in_hand: int) -> None:
+        """Fills and drains up to `now`, so many calls having been in hand since the time before."""
+        self.level = min(self.depth, self.level + (self.rate - in_hand) * (now - self.at))
+        self.at = now
+
+    def longest(self, remaining: Sequence[int]) -> float:
+        """How long one more call may be in hand, from now, beside others that are for `remaining` each. Only
+        where `rate` is under 1: then the level is lowest when the last of them ends."""
+        spare = self.level - sum(remaining)
+        others = max(remaining, default=0)
+        outlasting = spare / (1 - self.rate)
+        return outlasting if outlasting >= others else spare + self.rate * others
+
+    def longest_ever(self) -> float:
+        """How long a call may be in hand that finds the bucket full and no other call."""
+        return self.depth / (1 - self.rate)
+
+
 class Calls:
     """Calls in hand and those of a window past. One left behind stays in hand while it may linger.
 
@@ -20,14 +48,16 @@
     what still lingers are kept apart, each in the order of its end, and only the ends are looked at.
     """
 
-    def __init__(self, window: int, linger: int) -> None:
+    def __init__(self, window: int, linger: int, now: int = 0) -> None:
         self.window, self.linger = window, linger
+        self.bucket = TimeBucket(now)
         self.out: dict[int, tuple[int, int]] = {}  # begin and time-out
         self.over: deque[tuple[int, int]] = deque()  # begin and end
         self.lingering: deque[tuple[int, int]] = deque()  # the same, with the end to come
 
     def begin(self, ref: int, now: int, time_out: int) -> None:
         """Counts a call of request `ref`, which times out at `now + time_out` microseconds."""
+        self._pass(now)
         self.out[ref] = now, now + time_out
 
     def end(self, ref: int, now: int, left_behind: bool) -> None:
@@ -40,14 +70,16 @@
 
     def _pass(self, now: int) -> None:
         while self.lingering and self.lingering[0][1] <= now:
+            self.bucket.pass_time(self.lingering[0][1], self._count())
             self.over.append(self.lingering.popleft())
+        self.bucket.pass_time(now, self._count())
         while self.over and self.over[0][1] <= now - self.window:
             self.over.popleft()
 
     def in_hand(self, now: int) -> int:
         """Calls that may be at the records service, those left behind there among them."""
         self._pass(now)
-        return len(self.out) + len(self.lingering)
+        return self._count()
 
     def through(self, now: int) -> int:
         """How many came to their end within the window."""
@@ -61,6 +93,27 @@
         spans = [*self.over, *self.lingering, *out]
         return sum(end - max(begin, start) for begin, end in spans if end > start)
 
+    def longest(self, now: int) -> float:
+        """The longest time-out that the bucket can stand for one more call, if each that is out runs to its
+        own and all of them linger."""
+        self._pass(now)
+        out = [max(0, end - now) + self.linger for _, end in self.out.values()]
+        return self.bucket.longest([*out, *(end - now for _, end in self.lingering)]) - self.linger
+
+    def longest_ever(self) -> float:
+        """The longest time-out that a full bucket can stand."""
+        return self.bucket.longest_ever() - self.linger
+
+    def refill(self, now: int, depth: float, rate: float) -> None:
+        """From now on the bucket has this depth and fills at this rate; what is in it stays, as far as it
+        still fits."""
+        self._pass(now)
+        self.bucket.depth, self.bucket.rate = depth, rate
+        self.bucket.level = min(depth, self.bucket.level)
+
+    def _count(self) -> int:
+        return len(self.out) + len(self.lingering)
+
 
 class Callers:
     """When each caller was last heard and how long it mostly waits; the `most` last heard are kept."""
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -795,8 +795,8 @@
     _m(
         "restart-uncharged",
         BRAIN,
-        "        if self.cold:  # against a restart's second share",
-        "        if False:  # against a restart's second share",
+        "bucket.level = min(bucket.level, filled) if self.cold else bucket.depth",
+        "bucket.level = bucket.depth",
         "the calls of the life before are not counted after a restart",
     ),
     _m(
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -39,8 +39,9 @@
 class Life:
     """One life of an instance that always has runs which wait for a call: it makes as many as it may."""
 
-    def __init__(self, plain: dict[str, Any], now: int, seed: int) -> None:
+    def __init__(self, plain: dict[str, Any], now: int, seed: int, linger: int = LINGER) -> None:
         self.brain = Brain(plain, seed, now)
+        self.linger = linger
         self.open: dict[int, Txn] = {}
         self.out: dict[int, tuple[int, int]] = {}  # begun, given up at
         self.serial = 0
@@ -78,7 +79,7 @@
 
     def end(self, ref: int, now: int, outcome: Outcome | None) -> None:
         begun, _ = self.out.pop(ref)
-        self.spans.append((begun, now if outcome is Outcome.OK else now + LINGER))
+        self.spans.append((begun, now if outcome is Outcome.OK else now + self.linger))
         if outcome is not None and ref in self.open:
             self.brain.call_ended(now, self.open[ref], outcome, now - begun)
             if outcome is Outcome.OK:
