Look at a socket before its connection is cut or closed for silence

Cause: strangers and connections bidden farewell gave way to newcomers 50 ms later by the clock; in a longer turn of the loop their requests lay unread. The log has a `displaced` with `asked` 0 for each reset (24 of 24, 37 of 37, 9 of 9).

Mend: whoever is to be cut or closed for silence has its socket read first, in the same turn; those that have sent something stay, those whose callers closed them free their place. It holds whatever a turn takes, as the look comes right before the cut. One that is bidden farewell can't be cut before what is unsent has gone out.

--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -9,6 +9,7 @@
 
 import binascii
 import heapq
+import math
 import time
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -348,6 +349,21 @@
             self.callers.log.fault("connection-fault", trouble)
             self.spoil("defect")
 
+    def look(self) -> None:
+        """Reads what lies unread in the socket, in this turn of the loop, and ends the connection where its
+        caller has: silence is judged by what was read, as the clock says nothing of a socket that a long turn
+        left alone."""
+        if self.code or self.spoiled:
+            return
+        ended = self.transport.doRead()
+        if ended is not None:
+            self.transport.connectionLost(Failure(ended))  # type: ignore[no-untyped-call]
+
+    @property
+    def silent(self) -> bool:
+        """Whether nothing of a request is here that an answer could be owed to."""
+        return not self.open and not self.frames.begun
+
     def discard(self, size: int) -> None:
         """What comes after our end of the stream can't be answered, so it is not taken: its caller sees that
         end, and knows that nothing ran."""
@@ -541,6 +557,7 @@
         self.parting: dict[Connection, float] = {}
         # Sockets that are cut keep their descriptors up to the next turn: no more in a turn than `slack`.
         self.slack, self.cut = slack, 0
+        self.looked_around = False  # at all sockets, in this turn of the loop
 
     def buildProtocol(self, addr: object) -> Connection | Rejected | None:
         if self._room():
@@ -554,20 +571,54 @@
         """Against a table full of connections that say nothing, or rest: a newcomer takes the place of one.
         Those that say nothing never fill it, so that usual callers keep theirs. One that rests hears a
         farewell and keeps its descriptor for a while, from the places that are kept for this."""
-        spare = self.most - self.most // PARTING - (len(self.connections) - len(self.parting))
-        oldest = next(iter(self.strangers), None)
-        if (
-            (spare <= 0 or len(self.strangers) * STRANGERS >= self.most)
-            and oldest is not None
-            and self._cut_short(oldest, self.strangers[oldest])
-        ):
+        if self._crowded() and self._displace_stranger():
             return True
+        spare = self._spare()
         if spare <= 0:  # more than one where a rush took the kept places: they are to be there for the next
             self._part_resting(1 - spare)
+        if len(self.connections) >= self.most:
+            self._look_around()
         if len(self.connections) < self.most:
             return True
-        gone = next((each for each in self.parting if not each.open), None)
-        return gone is not None and self._cut_short(gone, self.parting[gone])
+        gone = self._first_silent(self.parting)
+        return gone is not None and self._cut_short(gone)
+
+    def _displace_stranger(self) -> bool:
+        silent = self._first_silent(self.strangers)
+        if silent is None and self._spare() <= 0:
+            silent = self._first_silent(self.strangers, half_come=True)
+        return silent is not None and self._crowded() and self._cut_short(silent)
+
+    def _spare(self) -> int:
+        """Places for newcomers, besides those that are kept for connections that were bidden farewell."""
+        return self.most - self.most // PARTING - (len(self.connections) - len(self.parting))
+
+    def _crowded(self) -> bool:
+        return self._spare() <= 0 or len(self.strangers) * STRANGERS >= self.most
+
+    def _look_around(self) -> None:
+        """Once a turn of the loop: those whose callers have closed them, unread as yet, take no place."""
+        if self.looked_around:
+            return
+        self.looked_around = True
+        self.clock.callLater(0, self._look_again)
+        for connection in list(self.connections):
+            if not connection.open:
+                connection.look()
+
+    def _look_again(self) -> None:
+        self.looked_around = False
+
+    def _first_silent(self, among: dict[Connection, float], half_come: bool = False) -> Connection | None:
+        """The first that has been silent for SETTLE and is so still when its socket is looked at; with
+        `half_come` also one that has sent a part of a message."""
+        for connection, since in list(among.items()):
+            if not self._settled(since):
+                return None  # nor are those behind it
+            connection.look()
+            if connection in among and not connection.open and (half_come or connection.silent):
+                return connection
+        return None
 
     def _part_resting(self, count: int) -> None:
         resting = [
@@ -579,14 +630,19 @@
             if not self._settled(longest.heard):
                 return
             longest.say_farewell()
-            self.parting[longest] = self.clock.seconds()
+            self.parting[longest] = math.inf  # up to the next turn of the loop: what is unsent goes out first
+            self.clock.callLater(0, self._bidden, longest)
+
+    def _bidden(self, connection: Connection) -> None:
+        if connection in self.parting:
+            self.parting[connection] = self.clock.seconds()
 
     def _settled(self, since: float) -> bool:
         """False where it was heard, made or bidden farewell a moment ago: it stays."""
         return bool(self.clock.seconds() - since >= SETTLE)
 
-    def _cut_short(self, connection: Connection, since: float) -> bool:
-        if not self._settled(since) or not self._may_cut():
+    def _cut_short(self, connection: Connection) -> bool:
+        if not self._may_cut():
             return False
         connection.close("displaced", abort=True)
         self.drop(connection)
@@ -644,19 +700,26 @@
             if connection.code:  # a peer that does not read what is left would keep it open for ever
                 if now - connection.closed_at > CLOSE_AFTER:
                     connection.transport.abortConnection()
-                continue
-            if connection.open:
-                continue
-            if now - self.strangers.get(connection, now) > WHOLE:
-                connection.close("silent")
-            elif connection.frames.begun and now - connection.half_since > WHOLE:
-                connection.close("half-message")
-            elif connection.farewell_at is not None:
-                if now - max(connection.farewell_at, connection.heard) > CLOSE_AFTER:
-                    connection.close(self.parted(connection))
-            elif limit and now - connection.heard > limit:
+            elif self._overdue(connection, now):
+                connection.look()  # what it sent may lie there since before this turn of the loop
+                if connection in self.connections and (code := self._overdue(connection, now)):
+                    connection.close(code)
+            elif limit and now - connection.heard > limit and not connection.open:
                 connection.say_farewell()
 
+    def _overdue(self, connection: Connection, now: float) -> str:
+        """The code of the end of one that has been silent for too long; empty where it has not."""
+        if connection.open or connection.code:
+            return ""
+        if now - self.strangers.get(connection, now) > WHOLE:
+            return "silent"
+        if connection.frames.begun and now - connection.half_since > WHOLE:
+            return "half-message"
+        bidden = connection.farewell_at
+        if bidden is not None and now - max(bidden, connection.heard) > CLOSE_AFTER:
+            return self.parted(connection)
+        return ""
+
     def farewell(self) -> None:
         for connection in list(self.connections):
             connection.say_farewell()
--- a/limeridge/sim/reactor.py
+++ b/limeridge/sim/reactor.py
@@ -231,6 +231,11 @@
         self.other._read_soon()
         return True
 
+    def doRead(self) -> None:
+        """What lies here unread, read at once. An end of the stream is met in a turn of its own."""
+        if self.connected and self.reading and self.inn.inbox:
+            self.read()
+
     def _read_soon(self) -> None:
         self.reactor.timeline.at(self.reactor.timeline.now, self.life, "read", self.readable, wire=True)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -402,6 +402,9 @@
         """Our end of the stream; what the peer sends is read on."""
         self.half_closed = self.disconnecting = True
 
+    def doRead(self) -> None:  # noqa: N802
+        """Nothing lies unread here: what arrives is told at once."""
+
     def resumeProducing(self) -> None:  # noqa: N802
         self.producerState = "producing"
 
