Count the times of a drain from the signal, not from the turn that takes it

Could be seen by callers: requests taken beyond the grace, and answers and closes that come too late for the kill, by what was left of a long turn of the event loop. Found by reading; not seen in a run.

Cause: a signal is handed to the next turn of the loop, and `leave` took its own time as that of the notice.

Mend: the signal's handler notes the time, and the grace, the end of the streams and the last call follow it. tests/test_crossings.py forces a turn of 0.4 s in between; the code before was 0.4 s late.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -388,10 +388,10 @@
         if txn.stage in (Stage.HELD, Stage.JOINED):
             self._over(txn)
 
-    def leave(self, now: int, budget: int) -> None:
+    def leave(self, now: int, budget: int, ago: int = 0) -> None:
         self.now = self.speak_at = now
-        self.leave_at = now if self.leave_at is None else self.leave_at
-        self.stop_at = now + budget
+        self.leave_at = now - ago if self.leave_at is None else self.leave_at
+        self.stop_at = now - ago + budget
 
     def woke(self, now: int, ref: int, gauges: Mapping[str, float]) -> None:
         self.now, self.wake_at, self.gauge_new = now, None, True
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -316,9 +316,10 @@
             self.log.event("overdue", "guard", ref=entry.intake.ref)
             self.give_up(entry.intake, "overdue")
 
-    def leave(self, budget: int) -> None:
-        """The notice to leave; the process is killed `budget` microseconds from now."""
-        self._tell(self.brain.leave, budget)
+    def leave(self, budget: int, ago: int = 0) -> None:
+        """The notice to leave, which came `ago` microseconds ago; the process is killed `budget` microseconds
+        after it."""
+        self._tell(self.brain.leave, budget, ago)
         self._pull()
 
     def owed(self) -> int:
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -119,6 +119,7 @@
         self.loading: Steps[Setup] | None = None  # of a new configuration
         self.reading: Any = None  # the timer of its next turn, or of another try
         self.leaving, self.shut = False, False
+        self.noticed_at: float | None = None  # the notice to leave, by its signal
         self.kill_at = 0.0
         self.parted = False  # all streams were ended, and none can be opened any more
         self.quiet_since: float | None = None
@@ -416,19 +417,26 @@
 
     # ---- drain
 
+    def noticed(self, number: int) -> None:
+        """In the handler of a signal itself. The kill follows the notice to leave by its time, and a turn of
+        the loop that takes long puts off what is done about it."""
+        if number in (signal.SIGTERM, signal.SIGINT) and self.noticed_at is None:
+            self.noticed_at = self.reactor.seconds()
+
     def leave(self) -> None:
         if self.leaving:
             self.log.event("drain", "again")
             return
         self.leaving = True
-        noticed_at = self.reactor.seconds()
+        now = self.reactor.seconds()
+        noticed_at = now if self.noticed_at is None else self.noticed_at
         stop = self.setup.stop / 1_000_000
         self.kill_at = noticed_at + stop
         self.log.event("drain", "begun", owed=self.facade.owed(), connections=len(self.callers.connections))
         self.guarded(lambda: self.node_list.report(False))
         if self.peers is not None:
             self.guarded(self.peers.leave)
-        self.guarded(lambda: self.facade.leave(self.setup.stop))
+        self.guarded(lambda: self.facade.leave(self.setup.stop, int((now - noticed_at) * 1_000_000)))
         # Against callers that hear of it late, while a successor is cold or not listed yet: what comes within
         # the grace may still run, so the door stays open for most of it.
         grace: Any = self.setup.plain.get("rules.drain_grace", 0)
@@ -531,8 +539,16 @@
     instance = Instance(setup, reactor, log, reread_granted)
     if peers is not None:
         instance.join(peers(setup, reactor, log))
+
+    def handler(taken: Callable[[], None]) -> Callable[[int, object], None]:
+        def handle(number: int, _: object) -> None:
+            instance.noticed(number)
+            reactor.callFromThread(taken)
+
+        return handle
+
     for notice, taken in instance.notices().items():
-        signal.signal(notice, lambda *_, taken=taken: reactor.callFromThread(taken))
+        signal.signal(notice, handler(taken))
     signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one that came meanwhile is taken now
     # Begun, as Twisted keeps 65,536 events for whoever begins later, with all that they hold on to.
     observer: Any = instance.observed
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -331,7 +331,7 @@
     _m(
         "leave-untold",
         SERVICE,
-        "        self.guarded(lambda: self.facade.leave(self.setup.stop))\n",
+        "        self.guarded(lambda: self.facade.leave(self.setup.stop, int((now - noticed_at) * 1_000_000)))\n",
         "",
         "the brain does not hear of a drain",
     ),
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -255,6 +255,7 @@
 
     def signal(self, number: int) -> None:
         if self.instance is not None:
+            self.instance.noticed(number)
             self.reactor.callFromThread(self.instance.notices()[number])
 
     def exited(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -990,3 +990,21 @@
         s.until("the process's own end", lambda: s.ended)
         assert s.reactor.seconds() < s.instance.kill_at - LAST_CALL
         assert s.log.codes("drain")[-1] == "done"
+
+
+def test_the_kill_follows_the_signal_and_not_the_turn_in_which_it_is_taken() -> None:
+    """The signal's handler runs within a turn of the loop, and what it asks for in the next one."""
+    net = Net()
+    net.boot()
+    instance = net.instance
+    instance.noticed(signal.SIGHUP)
+    signalled = net.reactor.seconds()
+    instance.noticed(signal.SIGTERM)
+    net.reactor.rightNow += 0.4  # the turn goes on
+    instance.noticed(signal.SIGINT)
+    instance.leave()
+    stop = SAMPLE["stop_ms"] / 1_000
+    assert instance.kill_at == pytest.approx(signalled + stop)
+    brain = instance.facade.brain
+    assert brain.leave_at == pytest.approx(signalled * 1e6, abs=10)
+    assert brain.stop_at == pytest.approx((signalled + stop) * 1e6, abs=10)
