--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -172,6 +172,7 @@
                 self.kernel.guarded(line)
                 if self.kernel.link is not self:
                     return
+            self.kernel.read_all()
         except BadLine:
             self.kernel.distrust(self, "oversize")
 
@@ -199,6 +200,7 @@
         self.service, self.reactor, self.host, self.port, self.log = service, reactor, host, port, log
         self.link: Link | None = None
         self.ready = False  # booted, and the repeated notices are read
+        self.fenced = False  # the same, but for what came in one piece with the last of them
         self.booted = False
         self.cursor = 0
         self.skipped_to = 0  # a gap up to here was seen twice: the notices in it are gone for good
@@ -210,7 +212,7 @@
         self.uncarried: dict[str, Command] = {}  # by handle, in the order of their sending
         # of commands: the last given, the last that the kernel is known to have read
         self.serial, self.known = 0, 0
-        self.resent: set[str] = set()
+        self.resent: set[str] = set()  # handles whose commands of this link may be refused as carried out
         self.tickets = 0
         self.asked: dict[str, tuple[Deferred[Any], int]] = {}  # by ticket, with the last command before it
 
@@ -329,7 +331,15 @@
         )
         self._relink()
 
+    def read_all(self) -> None:
+        """What came in one piece is read. Only now is anything commanded again: what a run has left behind by
+        a notice further on in the piece must not be."""
+        if self.fenced:
+            self.fenced = False
+            self._resume()
+
     def _unready(self) -> None:
+        self.fenced = False
         if self.ready:
             self.ready, self.lost_at = False, self.reactor.seconds()
 
@@ -364,7 +374,7 @@
                 self._notice(told)
             case Gauges(ticket, figures):
                 if ticket == FENCE:
-                    self._resume()
+                    self.fenced = True
                 else:
                     self._heard_back(ticket)
                     self._answer(ticket, figures)
