Pass over refusals of resent commands until the kernel has answered a later question

Could be seen by callers: `run failed` for a request whose run goes on and ends well, after the link to the kernel was replaced.

Cause: the mark by which such a refusal is passed over was taken off with the run's next notice, which may have been written before the kernel read the command; the refusal then counted for what was commanded last.

Mend: the mark stays until a question asked on the new link is answered. The kernel reads and answers in order, so all such refusals have come by then. tests/test_resent_commands.py forces the crossing and fails before.

--- a/limeridge/net/kernel.py
+++ b/limeridge/net/kernel.py
@@ -300,6 +300,7 @@
         """Commands are read in their order: what was sent before this question has arrived."""
         if ticket in self.asked:
             self.known = max(self.known, self.asked[ticket][1])
+            self.resent.clear()  # refusals of these would have come before
 
     # ---- the link
 
@@ -424,7 +425,7 @@
         self.cursor = notice.cursor
         if notice.news is None:
             return
-        self.over(notice.handle)
+        self.uncarried.pop(notice.handle, None)
         if not self.service.heard(notice.handle, notice.news):
             self.log.event("link-fault", "unknown-handle", handle=notice.handle)
 
--- a/tests/test_resent_commands.py
+++ b/tests/test_resent_commands.py
@@ -48,6 +48,18 @@
     assert net.instance.kernel.ready and net.answers(caller) == []
 
 
+def test_a_refusal_of_what_was_sent_again_fails_no_run_that_has_gone_on() -> None:
+    net, caller, ref = waiting()
+    net.tell(event="INFO", ticket="fence", figures=[0, 0, 0, 0])
+    assert {"event": "NOIO", "handle": ref, "cursor": 1} in net.commands()
+    net.cursor = 1
+    net.tell(event="IOREQ", cursor=None, handle=ref, arg="Y2FsbA==")  # written before the kernel read it
+    net.tell(event="EINVAL", fate="NOIO", handle=ref)
+    assert net.answers(caller) == [], "failed, though its run goes on"
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg="eA==")
+    assert [a["result"]["doc"] for a in net.answers(caller)] == ["eA=="]
+
+
 def test_a_refusal_of_a_command_that_was_sent_once_still_ends_its_run() -> None:
     """Also on a link that came anew: once the kernel has answered a question asked after it, nothing of what
     was sent again is on its way any more."""
