Give the tests' instances loopback addresses that no other process can take

Seen: one of 77 runs of tests/test_crossings.py beside a loaded machine failed: `not within 30 s: it to listen`, the process alive.

Cause: the test takes a free port of 127.0.0.1, lets it go and hands it to the process; beside other processes the number may be the local end of somebody's connection by then, and the instance waits for its address without end, as it should (`listen` `taken`). Its log was gone with the run, so this is shown by force and not by the run: with a connection bound to the port before the start, the same thing comes each time, and there is no other way in which a process that lives does not listen.

Mend: addresses are of a loopback host of the test's own process, from which nothing connects. A failure of that kind prints the process's log from now on.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 import time
@@ -29,6 +30,17 @@
     return made
 
 
+def free_address() -> str:
+    """Where a process may listen later, on a loopback address of this process's own. A free number of
+    127.0.0.1 may go to a connection of any other process before it is listened on: the instance then waits
+    for it, as for one that a predecessor still holds."""
+    number = os.getpid()
+    host = f"127.{64 + (number >> 16) % 64}.{number >> 8 & 255}.{number & 255 or 255}"
+    with socket.socket() as made:
+        made.bind((host, 0))
+        return address(made)
+
+
 def address(of: socket.socket) -> str:
     host, port = of.getsockname()[:2]
     return f"{host}:{port}"
@@ -151,18 +163,16 @@
             made.listen(64)
         for made in (self.kernels, self.ledgers, self.roster):
             made.setblocking(False)
-        place = bound()
         self.file: dict[str, Any] = (
             SAMPLE
             | {
-                "listen": address(place),
+                "listen": free_address(),
                 "kernel": address(self.kernels),
                 "records": address(self.ledgers),
                 "roster": address(self.roster),
             }
             | changes
         )
-        place.close()
         self.log = Sink()
         self.instance = Instance(
             setup_of(self.file),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,7 +19,7 @@
 import orjson
 import pytest
 from helpers import MOST, SAMPLE, Net, Wire, until
-from loopback import CallerEnd, Far, KernelEnd, Stepped, address, bound
+from loopback import CallerEnd, Far, KernelEnd, Stepped, address, bound, free_address
 from twisted.internet.error import CannotListenError, ConnectionRefusedError
 from twisted.python.failure import Failure
 
@@ -549,7 +549,7 @@
 def test_a_notice_that_comes_before_there_is_anybody_to_take_it_is_taken_later(tmp_path: Path) -> None:
     """The real process. Its configuration is a pipe, so that it is read when we say: the notice comes between
     the reading and the taking over of signals."""
-    config, pipe = SAMPLE | {"listen": address(bound()), "kernel": "127.0.0.1:9"}, tmp_path / "config"
+    config, pipe = SAMPLE | {"listen": free_address(), "kernel": "127.0.0.1:9"}, tmp_path / "config"
     os.mkfifo(pipe)
     with (tmp_path / "log").open("wb") as log:
         child = subprocess.Popen(
@@ -619,11 +619,10 @@
         for made in (self.kernels, self.ledgers):
             made.listen(64)
             made.settimeout(MOST)
-        place = bound()
         self.config = (
             SAMPLE
             | {
-                "listen": address(place),
+                "listen": free_address(),
                 "kernel": address(self.kernels),
                 "records": address(self.ledgers),
                 "roster": address(self.roster),
@@ -631,7 +630,6 @@
             }
             | changes
         )
-        place.close()
         (folder / "config.json").write_bytes(orjson.dumps(self.config))
         self.log = folder / "log"
         with self.log.open("wb") as log:
@@ -647,7 +645,8 @@
     def until(self, what: str, held: Any) -> Any:
         end = time.monotonic() + MOST
         while not (found := held()):
-            assert time.monotonic() < end and self.child.poll() is None, f"not within {MOST:g} s: {what}"
+            in_time = time.monotonic() < end and self.child.poll() is None
+            assert in_time, f"not within {MOST:g} s: {what}; its log ends with {self.told()[-2_000:]!r}"
             time.sleep(0.005)
         return found
 
@@ -772,7 +771,7 @@
 
 
 def test_what_the_machine_grants_is_shared_out_and_not_what_the_file_says(tmp_path: Path) -> None:
-    (tmp_path / "config.json").write_bytes(orjson.dumps(SAMPLE | {"listen": address(bound())}))
+    (tmp_path / "config.json").write_bytes(orjson.dumps(SAMPLE | {"listen": free_address()}))
     with (tmp_path / "log").open("wb") as log:
         child = subprocess.Popen(
             ["/bin/sh", "-c", f"ulimit -n 64 && exec {sys.executable} -m limeridge"],
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -22,7 +22,7 @@
 from helpers import MOST, PLAIN, SAMPLE, until
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from loopback import CallerEnd, Far, KernelEnd, address, bound
+from loopback import CallerEnd, Far, KernelEnd, address, bound, free_address
 
 from limeridge.brain import HEEDED, Brain
 from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
@@ -272,7 +272,6 @@
         self.kernels = bound()
         self.kernels.listen(4)
         self.kernels.settimeout(MOST)
-        place = bound()
         info = SAMPLE["settings"]["familyInfo"] | {
             "callsOut": share,
             "callsOver": OVER,
@@ -284,13 +283,12 @@
         }
         self.config = SAMPLE | {
             "name": f"n{number}",
-            "listen": address(place),
+            "listen": free_address(),
             "kernel": address(self.kernels),
             "records": ledger,
             "roster": roster,
             "settings": SAMPLE["settings"] | {"familyInfo": info, "groupSize": count},
         }
-        place.close()
         self.path = folder / f"{number}.json"
         self.path.write_bytes(orjson.dumps(self.config))
         self.child: Any = None
