Soak real instances among drawn troubles, judged from their clients' record alone

`limeridge trial soak` plays one to three real instances with real stand-ins: kept connections, a crowd that connects anew round the notice, pieces and slow writers, signals in series, half-written files, SIGKILL at stop_ms to the millisecond and a successor at that moment. A machine too busy is told from each instance's own wait for a core, and only matters of time are excused by it.

--- a/limeridge/cli/trial.py
+++ b/limeridge/cli/trial.py
@@ -22,7 +22,7 @@
 from rich.table import Table
 
 from limeridge.settings.load import Unusable
-from limeridge.trial import scenario
+from limeridge.trial import scenario, soak_table
 
 LANES_APART = 8.0  # seconds
 TRIES = 3  # of a trial that the machine was too busy for
@@ -280,6 +280,64 @@
     pyplot.close(figure)
 
 
+@trial.command("soak")
+@click.option("--seeds", type=click.IntRange(1, 10_000), default=10, show_default=True, help="As many soaks.")
+@click.option("--first", type=click.IntRange(0), default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", "-j", type=click.IntRange(1, 64), default=1, show_default=True, help="Soaks at once.")
+@click.option(
+    "--seconds",
+    type=click.FloatRange(1, 3_600),
+    default=5.0,
+    show_default=True,
+    help="Of traffic before the first notice.",
+)
+@click.option("--no-quiet", is_flag=True, help="No soak with a quiet time of 30 s.")
+@click.option(
+    "--code", type=click.Path(file_okay=False, exists=True), help="A checkout whose instance is taken."
+)
+@AS_JSON
+def soak(
+    seeds: int, first: int, jobs: int, seconds: float, no_quiet: bool, code: str | None, as_json: bool
+) -> None:
+    """Real instances with their notices, kills and successors among drawn troubles, judged from the clients'
+    side. Exit code 0 held, 1 broke or met too little, 3 the machine was too busy for a verdict."""
+
+    def one(seed: int) -> dict[str, Any]:
+        command = [sys.executable, "-m", "limeridge.trial.soak", str(seed), str(seconds)]
+        command += ["--no-quiet"] * no_quiet
+        if code is not None:
+            command += ["--code", str(Path(code).resolve())]
+        done = subprocess.run(command, stdout=subprocess.PIPE, check=False)
+        if done.returncode:
+            raise click.ClickException(f"the soak of seed {seed} ended with {done.returncode}")
+        report: dict[str, Any] = orjson.loads(done.stdout.splitlines()[-1])
+        return report
+
+    reports: list[dict[str, Any]] = []
+    with ThreadPool(jobs) as pool:
+        for report in pool.imap(one, range(first, first + seeds)):
+            reports.append(report)
+            if not as_json:
+                soak_told(report)
+    seldom = soak_table.too_little(reports)
+    verdicts = [soak_table.verdict(report) for report in reports]
+    if as_json:
+        click.echo(orjson.dumps({"reports": reports, "too_little": seldom}))
+    else:
+        click.echo(
+            "\n".join(["", *soak_table.lines(reports), *(f"met too little: {each}" for each in seldom)])
+        )
+    broke = "broke" in verdicts or bool(seldom)
+    raise click.exceptions.Exit(1 if broke else BUSY if "machine too busy" in verdicts else 0)
+
+
+def soak_told(report: dict[str, Any]) -> None:
+    """A line a soak, and one a fault."""
+    click.echo(f"seed {report['seed']}: {soak_table.verdict(report)}")
+    for fault in report["faults"]:
+        click.echo(f"  {fault['rule']}: {fault['what']}")
+
+
 @trial.command("show")
 @click.argument("name")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
--- /dev/null
+++ b/limeridge/trial/soak.py
@@ -0,0 +1,363 @@
+"""`python -m limeridge.trial.soak SEED SECONDS [--no-quiet] [--code FOLDER]`: one soak, as a line of JSON.
+
+One to three real instances on loopback sockets with real stand-ins, each with its notice, its kill and its
+successor, and clients round them. It owns the processes and the sockets, ends by itself and opens nothing off
+loopback. What is drawn is decided in `soak_plan`, what is judged in `soak_record`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import math
+import os
+import random
+import resource
+import socket
+import sys
+import tempfile
+import time
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import orjson
+from twisted.internet import reactor as the_reactor
+from twisted.internet.protocol import ProcessProtocol
+
+from limeridge.sim.plan import Ranges
+from limeridge.sim.plan import draw as draw_site
+from limeridge.standins.kernel import Kernel
+from limeridge.standins.ledger import Ledger
+from limeridge.standins.nodelist import NodeList
+from limeridge.trial import soak_plan
+from limeridge.trial.soak_clients import Connection, Place, connect
+from limeridge.trial.soak_plan import InstancePlan, Signal, SoakPlan
+from limeridge.trial.soak_record import Record
+
+READY_MOST = 20.0  # seconds until all instances must be ready
+AFTER = 0.8  # seconds of a successor's life, up to its own notice
+SUCCESSOR_STOP = 1.0  # seconds that its own drain is given
+CROWD_FROM, CROWD_TO = -0.3, 0.1  # seconds from the notice, within which the crowd begins
+CROWD_LASTS = 3.0  # seconds after the notice in which it connects anew
+LOOK = 0.02  # seconds between two looks at the processes
+BUSY_WAIT = 0.01  # seconds that one may wait for a core between two looks, or the machine is too busy
+PACES = (15.0, 40.0, 80.0)  # requests a second of a connection
+ALIVE_SLACK = 0.05  # seconds that the rig may take to see that a process has ended
+CORES = 2
+
+
+class Child(ProcessProtocol):
+    """One process of an instance; keeps its log."""
+
+    def __init__(self, life: Life) -> None:
+        self.life, self.log = life, b""
+
+    def outReceived(self, data: bytes) -> None:
+        """Called by Twisted with what it wrote to its standard output."""
+        self.log += data
+
+    errReceived = outReceived  # noqa: N815 - Twisted's name
+
+    def processEnded(self, reason: Any) -> None:
+        """Called by Twisted at its end."""
+        self.life.ended(reason.value.exitCode)
+
+
+class Life:
+    """One life of one instance, from its start to its end."""
+
+    def __init__(self, soak: Soak, plan: InstancePlan, number: int, kernel: Kernel) -> None:
+        self.soak, self.plan, self.number, self.kernel = soak, plan, number, kernel
+        self.child = Child(self)
+        self.exit_code: int | None = None
+        self.over = self.killed = False
+        self.most_memory_mb = 0.0
+        self.most_descriptors = 0
+        self.waited = 0.0  # seconds for a core, in all
+        self.longest_wait = 0.0  # between two looks
+        self.process: Any = None
+
+    def start(self, path: Path) -> None:
+        self.process = self.soak.reactor.spawnProcess(
+            self.child,
+            sys.executable,
+            [sys.executable, "-m", "limeridge"],
+            env=os.environ | {"BALANCER_CONFIG": str(path)},
+            path=self.soak.code or None,  # the folder comes first on the way to its modules
+        )
+
+    def signal(self, name: str) -> None:
+        if not self.over:
+            self.soak.record.counts[f"signal {name}"] += 1
+            self.process.signalProcess(name)
+
+    def look(self) -> None:
+        """Memory and descriptors of the process, where it is there."""
+        if self.over:
+            return
+        folder = Path(f"/proc/{self.process.pid}")
+        try:
+            descriptors = len(os.listdir(folder / "fd"))
+            status = (folder / "status").read_text()
+            waited = int((folder / "schedstat").read_text().split()[1]) / 1e9
+        except (OSError, IndexError):
+            return
+        self.longest_wait = max(self.longest_wait, waited - self.waited)
+        self.waited = waited
+        peak = next((line for line in status.splitlines() if line.startswith("VmHWM")), "VmHWM: 0 kB")
+        self.most_memory_mb = max(self.most_memory_mb, int(peak.split()[1]) / 1_024)
+        self.most_descriptors = max(self.most_descriptors, descriptors)
+
+    def ended(self, exit_code: int | None) -> None:
+        self.over, self.exit_code = True, exit_code
+        self.soak.life_over(self)
+
+
+class Soak:
+    """One soak, from its first start to its verdict."""
+
+    def __init__(self, plan: SoakPlan, code: str = "") -> None:
+        self.plan, self.code = plan, code
+        self.reactor: Any = the_reactor
+        self.chance = random.Random(plan.seed * 7 + 1)
+        self.site = draw_site(Ranges(), plan.seed)
+        self.record = Record()
+        self.gone: set[str] = set()
+        self.ledger = Ledger(self.reactor, self.chance)
+        self.node_list = NodeList(self.reactor, late=0.0)
+        self.lives: dict[int, Life] = {}
+        self.all_lives: list[Life] = []
+        self.configs: dict[int, dict[str, Any]] = {}
+        self.begun = 0.0  # of the traffic, by the reactor's clock
+        self.records_port: Any = None
+        self.folder = Path()
+
+    # ---- the stand-ins and the processes
+
+    def start(self) -> None:
+        self.records_port = self.reactor.listenTCP(0, self.ledger, interface=self.host(0))
+        listed = self.reactor.listenUDP(0, self.node_list, interface=self.host(0)).getHost().port
+        for each in self.plan.instances:
+            self.configs[each.number] = self.site.config(0) | {
+                "name": f"n{each.number}",
+                "listen": f"{self.host(each.number + 1)}:{_free_port(self.host(each.number + 1))}",
+                "records": f"{self.host(0)}:{self.records_port.getHost().port}",
+                "roster": f"{self.host(0)}:{listed}",
+                "stop_ms": each.stop * 1_000,
+                "limits": {"cores": 1.0, "memory_mb": 64, "sockets": each.sockets},
+            }
+            guarantees = self.configs[each.number]["settings"]["guarantees"]
+            guarantees["drainGrace"] = int(each.grace * 1_000_000)
+            self.begin_life(each, 0)
+        self.await_ready(self.reactor.seconds() + READY_MOST)
+        self.look()
+
+    def host(self, number: int) -> str:
+        """A loopback address of this process's own, which nobody else's connections can take."""
+        pid = os.getpid()
+        return f"127.{128 + (pid >> 16) % 16 * 4 + number}.{pid >> 8 & 255}.{pid & 255 or 255}"
+
+    def begin_life(self, plan: InstancePlan, number: int) -> None:
+        """Starts a process with a kernel of its own: a successor's is cold."""
+        kernel = Kernel(self.reactor, CORES, self.chance, self.gone.__contains__, cold=number > 0)
+        begin = kernel.begin
+
+        def began(handle: str, doc: bytes) -> None:
+            self.record.began(plan.number, number, handle)
+            begin(handle, doc)
+
+        kernel.begin = began  # type: ignore[method-assign]
+        port = self.reactor.listenTCP(0, kernel, interface=self.host(0)).getHost().port
+        config = self.configs[plan.number]
+        config["kernel"] = f"{self.host(0)}:{port}"
+        config["settings"]["familyInfo"] |= {"cpus": CORES, "justStarted": number > 0}
+        self.write_config(plan.number)
+        life = self.lives[plan.number] = Life(self, plan, number, kernel)
+        self.all_lives.append(life)
+        life.start(self.config_path(plan.number))
+
+    def config_path(self, number: int) -> Path:
+        return self.folder / f"{number}.json"
+
+    def write_config(self, number: int, half: bool = False) -> None:
+        data = orjson.dumps(self.configs[number])
+        self.config_path(number).write_bytes(data[: len(data) // 2] if half else data)
+
+    def await_ready(self, until: float) -> None:
+        names = {f"n{each.number}" for each in self.plan.instances}
+        if names <= set(self.node_list.listed()):
+            self.traffic()
+        elif self.reactor.seconds() > until:
+            self.record.fault("not ready", f"{sorted(names)}, listed are {self.node_list.listed()}")
+            self.finish()
+        else:
+            self.reactor.callLater(LOOK, self.await_ready, until)
+
+    # ---- the traffic and the troubles
+
+    def traffic(self) -> None:
+        self.begun = self.reactor.seconds()
+        for each in self.plan.instances:
+            place = self.place(each)
+            for _ in range(each.steady):
+                self.later(self.chance.random() * 0.5, partial(connect, place, partial(Connection, place, 0)))
+            for _ in range(each.crowd):
+                self.later(
+                    each.notice + self.chance.uniform(CROWD_FROM, CROWD_TO), partial(self.crowd, place, each)
+                )
+            for signal in each.signals:
+                self.later(signal.at, partial(self.signal, each, signal))
+            self.later(each.notice, partial(self.notice, each))
+        first = min(each.notice for each in self.plan.instances)
+        if self.plan.records_down:
+            self.later(first, self.records_port.stopListening)
+        if self.plan.discovery_down:
+            self.later(first, lambda: setattr(self.node_list, "datagramReceived", lambda data, addr: None))
+
+    def place(self, plan: InstancePlan) -> Place:
+        host, _, port = str(self.configs[plan.number]["listen"]).rpartition(":")
+        return Place(
+            self.reactor,
+            plan.number,
+            (host, int(port)),
+            self.site.products,
+            self.record,
+            self.chance,
+            self.request_over,
+            self.asking,
+            self.chance.choice(PACES),
+            self.plan.resets,
+        )
+
+    def later(self, at: float, call: Any) -> None:
+        """At this time of the plan, the quiet time before it."""
+        self.reactor.callLater(max(0.0, self.begun + self.plan.quiet + at - self.reactor.seconds()), call)
+
+    def asking(self) -> bool:
+        """Not in the quiet time, but for its first second."""
+        passed = self.reactor.seconds() - self.begun
+        return bool(passed < 1.0 or passed > self.plan.quiet)
+
+    def request_over(self, ref: str) -> None:
+        self.gone.add(ref)
+        for life in self.lives.values():
+            life.kernel.ended_outside(ref)
+
+    def crowd(self, place: Place, plan: InstancePlan) -> None:
+        """One client of the crowd connects, and anew once it is answered, until nobody listens."""
+        notice = self.record.notices.get(plan.number, math.inf)
+        if time.time() < notice + min(CROWD_LASTS, plan.stop + AFTER):
+            batch = self.chance.choice((1, 2, 4))
+            connect(place, partial(Connection, place, batch, partial(self.crowd, place, plan)))
+
+    def signal(self, plan: InstancePlan, signal: Signal) -> None:
+        life = self.lives[plan.number]
+        if signal.name != "HUP" and plan.number not in self.record.notices:
+            return
+        if signal.half_written:
+            self.write_config(plan.number, half=True)
+            self.reactor.callLater(0.2, self.write_config, plan.number)
+        if life.number == 0:
+            life.signal(signal.name)
+
+    def notice(self, plan: InstancePlan) -> None:
+        life = self.lives[plan.number]
+        self.record.graces[plan.number] = plan.grace
+        self.record.notices[plan.number] = time.time()
+        life.signal("TERM")
+        self.reactor.callLater(plan.stop, self.kill, plan)
+
+    def kill(self, plan: InstancePlan) -> None:
+        """To the millisecond; the successor starts then, whether or not the process was there."""
+        life = self.lives[plan.number]
+        if not life.over:
+            life.killed = True
+            life.signal("KILL")
+            self.record.fault("alive at the kill", f"instance {plan.number}, {plan.stop} s after", soft=True)
+        self.begin_life(plan, 1)
+        self.reactor.callLater(AFTER + SUCCESSOR_STOP, self.end_successor, plan)
+
+    def end_successor(self, plan: InstancePlan) -> None:
+        self.record.notices[plan.number] = time.time()
+        self.lives[plan.number].signal("TERM")
+        self.reactor.callLater(plan.stop + ALIVE_SLACK, self.lives[plan.number].signal, "KILL")
+
+    # ---- the end
+
+    def look(self) -> None:
+        """What the processes hold, and how long they waited for a core."""
+        for life in self.lives.values():
+            life.look()
+        self.reactor.callLater(LOOK, self.look)
+
+    def life_over(self, life: Life) -> None:
+        kind = "killed" if life.killed else f"exit {life.exit_code}"
+        self.record.counts[f"lives ended by {kind}"] += 1
+        if not life.killed and life.exit_code != 0:
+            soft = life.exit_code is None and life.number == 1  # the rig's kill of a successor that drains
+            self.record.fault("exit", f"instance {life.plan.number} ended with {life.exit_code}", soft)
+        if b'"trace"' in life.child.log or b"Traceback" in life.child.log:
+            self.record.fault("trace", life.child.log.decode(errors="replace")[-1_500:])
+        if life.most_descriptors > life.plan.sockets:
+            self.record.fault("descriptors", f"{life.most_descriptors} of {life.plan.sockets}")
+        if life.most_memory_mb > 64:
+            self.record.fault("memory", f"{life.most_memory_mb:.0f} MB of 64")
+        if len(self.all_lives) == 2 * len(self.plan.instances) and all(each.over for each in self.all_lives):
+            self.reactor.callLater(0.1, self.finish)
+
+    def finish(self) -> None:
+        for life in self.lives.values():
+            if not life.over:
+                life.killed = True
+                life.process.signalProcess("KILL")
+        self.reactor.callLater(0.1, self.reactor.stop)
+
+    def busy(self) -> bool:
+        """Whether an instance had to wait too long for a core for a verdict on matters of time."""
+        return any(each.longest_wait > BUSY_WAIT for each in self.all_lives)
+
+    def run(self) -> dict[str, Any]:
+        """Plays it; what came of it, as JSON has it."""
+        with tempfile.TemporaryDirectory() as folder:
+            self.folder = Path(folder)
+            self.reactor.callWhenRunning(self.start)
+            self.reactor.run()
+        return {
+            "seed": self.plan.seed,
+            "instances": len(self.plan.instances),
+            "pairs_close": self.plan.pairs(),
+            "crowd": sum(each.crowd for each in self.plan.instances),
+            "quiet": self.plan.quiet,
+            "busy": self.busy(),
+            "counts": dict(sorted(self.record.counts.items())),
+            "most_memory_mb": round(max(each.most_memory_mb for each in self.all_lives), 1),
+            "most_descriptors": max(each.most_descriptors for each in self.all_lives),
+            "longest_wait": round(max(each.longest_wait for each in self.all_lives), 3),
+            "faults": [
+                {"rule": each.rule, "what": each.what, "soft": each.soft} for each in self.record.broken()
+            ],
+        }
+
+
+def _free_port(host: str) -> int:
+    with socket.socket() as made:
+        made.bind((host, 0))
+        return int(made.getsockname()[1])
+
+
+def main() -> None:
+    """Plays one soak and prints its verdict."""
+    parser = argparse.ArgumentParser("python -m limeridge.trial.soak", description=__doc__)
+    parser.add_argument("seed", type=int)
+    parser.add_argument("seconds", type=float)
+    parser.add_argument("--no-quiet", action="store_true", help="no life with a quiet time")
+    parser.add_argument("--code", default="", help="a checkout whose instance is taken")
+    asked = parser.parse_args()
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    plan = soak_plan.draw(asked.seed, asked.seconds, may_rest=not asked.no_quiet)
+    print(orjson.dumps(Soak(plan, asked.code).run()).decode())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/limeridge/trial/soak_plan.py
@@ -0,0 +1,108 @@
+"""What a soak does, drawn from a seed: instances, clients, signals, troubles and when each comes.
+
+It decides nothing of what is judged, reads no clock and opens nothing. Times are seconds from the start of
+the traffic, unless they are said to count from the notice to leave.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from itertools import pairwise
+
+SIGNALS_CLOSE = 0.05  # seconds between the signals of a series, at the most
+QUIET = 30.0  # seconds without requests before the trouble, in some lives of the long soak
+
+
+@dataclass(frozen=True, slots=True)
+class Signal:
+    """A signal to one instance; `half_written`: its file is cut in the middle when it comes."""
+
+    at: float
+    name: str  # HUP, TERM, INT
+    half_written: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class InstancePlan:
+    """One instance and what is done to it. It is killed `stop` seconds after its notice, and its successor
+    starts then."""
+
+    number: int
+    stop: float
+    grace: float
+    sockets: int
+    steady: int  # clients that keep their connections
+    crowd: int  # clients that connect anew once they are answered, round the notice; 0: none
+    notice: float
+    signals: tuple[Signal, ...]  # besides the notice
+
+    def moments(self) -> list[float]:
+        """All moments of trouble, for the pairs that lie close together."""
+        return [self.notice, self.notice + self.stop, *(each.at for each in self.signals)]
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """One soak: a life of each instance with its end, and the first moments of its successor."""
+
+    seed: int
+    seconds: float  # of traffic before the first notice
+    quiet: float  # seconds without requests before that
+    instances: tuple[InstancePlan, ...]
+    records_down: bool  # the records service refuses connections over the drains
+    discovery_down: bool  # nobody hears reports over the drains
+    resets: float  # share of clients' connections that the client resets at a drawn moment
+
+    @property
+    def last_notice(self) -> float:
+        return max(each.notice for each in self.instances)
+
+    def pairs(self) -> int:
+        """Pairs of moments of one instance within 50 ms of each other."""
+        count = 0
+        for each in self.instances:
+            moments = sorted(each.moments())
+            count += sum(b - a <= SIGNALS_CLOSE for a, b in pairwise(moments))
+        return count
+
+
+def draw(seed: int, seconds: float, may_rest: bool = True) -> SoakPlan:
+    """The same seed and length give the same plan; without `may_rest` no life has a quiet time."""
+    chance = random.Random(f"soak/{seed}")
+    count = chance.choice((1, 1, 2, 3))
+    begins = [seconds + chance.uniform(0, 0.6) for _ in range(count)]
+    crowded = chance.random() < 0.67
+    instances = tuple(_instance(chance, number, begins[number], crowded, count) for number in range(count))
+    return SoakPlan(
+        seed=seed,
+        seconds=seconds,
+        quiet=QUIET if may_rest and chance.random() < 0.25 else 0.0,
+        instances=instances,
+        records_down=chance.random() < 0.25,
+        discovery_down=chance.random() < 0.25,
+        resets=chance.choice((0.0, 0.0, 0.05)),
+    )
+
+
+def _instance(chance: random.Random, number: int, notice: float, crowded: bool, count: int) -> InstancePlan:
+    stop = chance.uniform(0.8, 1.6)
+    sockets = chance.choice((96, 256, 512))
+    room = sockets // 2 - 4  # the protocol: half of the descriptors at the most
+    steady = min(room // 2, chance.choice((4, 8, 16)))
+    signals = [Signal(chance.uniform(0.3, notice), "HUP", chance.random() < 0.3) for _ in range(2)]
+    for _ in range(chance.randrange(3)):  # a series, close together and close to the notice
+        first = notice + chance.uniform(-SIGNALS_CLOSE, SIGNALS_CLOSE)
+        signals += [Signal(first, "HUP"), Signal(first + chance.uniform(0, SIGNALS_CLOSE), "HUP")]
+    for _ in range(chance.randrange(4)):
+        signals.append(Signal(notice + chance.uniform(0, stop), chance.choice(("TERM", "INT", "HUP"))))
+    return InstancePlan(
+        number=number,
+        stop=round(stop, 3),
+        grace=round(chance.uniform(0.1, 0.4) * stop, 3),
+        sockets=sockets,
+        steady=steady,
+        crowd=(room - steady) // count if crowded else 0,
+        notice=notice,
+        signals=tuple(sorted(signals, key=lambda each: each.at)),
+    )
