Read lists of members of any length, and try places drawn from all of it

Seen: in a fleet of more than 2,560 places nobody joins by the list of service discovery; the target has 3,400.

Cause: an answer in more than 64 parts of 40 places was passed over, and of a shorter one the first 400 places were kept, the same for every reader.

Mend: up to 4,096 parts are read, and 400 places kept by reservoir sampling: the memory is as before.

--- a/limeridge/peers/seeds.py
+++ b/limeridge/peers/seeds.py
@@ -18,8 +18,8 @@
 
 from limeridge.peers.members import Address
 
-ENTRIES_MOST = 400  # of an answer; members hear of the others by gossip
-PARTS_MOST = 64
+ENTRIES_MOST = 400  # kept of an answer, drawn evenly; members hear of the others by gossip
+PARTS_MOST = 4_096  # of an answer, each a datagram
 TRIED_AT_ONCE = 3
 
 
@@ -42,8 +42,9 @@
         self.left = patience.budget / 2
         self.filled_at = now
         self.next_at = now + int(chance.uniform(0, patience.first))
-        self.found: list[Address] = []
-        self.parts: dict[int, list[Address]] = {}  # of the answer that is coming in
+        self.kept: list[tuple[int, Address]] = []  # each with the part in which it came
+        self.parts: set[int] = set()  # of the answer that is coming in
+        self.entries = 0  # in those parts
         self.asked = 0  # its number
 
     def ask(self, others: int, now: int) -> bool:
@@ -66,7 +67,7 @@
             return False
         self.left -= 1
         self.asked += 1
-        self.parts = {}
+        self.parts.clear()
         return True
 
     def heard(self, words: Sequence[str], own: Address) -> None:
@@ -77,9 +78,26 @@
         number, part, parts = map(int, words[:3])
         if number != self.asked or not 0 <= part < parts <= PARTS_MOST or part in self.parts:
             return
-        addresses = (address_of(word) for word in words[3 : 3 + ENTRIES_MOST])
-        self.parts[part] = [each for each in addresses if each is not None and each != own]
-        self.found = [each for _, some in sorted(self.parts.items()) for each in some][:ENTRIES_MOST]
+        if not self.parts:
+            self.kept, self.entries = [], 0
+        self.parts.add(part)
+        for word in words[3 : 3 + ENTRIES_MOST]:
+            address = address_of(word)
+            if address is not None and address != own:
+                self._keep((part, address))
+
+    def _keep(self, entry: tuple[int, Address]) -> None:
+        """By reservoir sampling: of a list of any length each entry is as likely to be kept."""
+        self.entries += 1
+        if len(self.kept) < ENTRIES_MOST:
+            self.kept.append(entry)
+        elif (place := self.chance.randrange(self.entries)) < ENTRIES_MOST:
+            self.kept[place] = entry
+
+    @property
+    def found(self) -> list[Address]:
+        """What is kept of the answer, part by part."""
+        return [address for _, address in sorted(self.kept, key=lambda entry: entry[0])]
 
     def take(self, known: set[Address]) -> list[Address]:
         """Some to be tried, drawn anew: all readers must not fall on the first of the list."""
