--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -173,7 +173,7 @@
 def test_nobody_connects_between_the_last_look_at_the_backlog_and_the_close_of_the_door() -> None:
     """What happens: a crowd connects anew as the door is shut; a connection is made, its request written, and
     reset in the same millisecond. Why: the system takes connections for a listening socket up to its close,
-    and resets those that nobody accepted. What showed it: the soak, seed 3, a reset 0.000 s after two requests
+    and resets those that nobody accepted. What showed it: the soak, seed 3: a reset 0.000 s after 2 requests
     were sent, 0.251 s after the notice; the door shuts at 0.249 s."""
     with stepped() as s:
         port, late = s.instance.port, []
