--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -43,7 +43,9 @@
 CALL_STALE = 2_000_000  # what was seen of calls this long ago says nothing of them now
 CALL_WAITERS = 0.4  # of the SLA time: more at a call than come through in it would wait for nothing
 CALL_SLOW = 4  # times what half the calls took when they were quickest: slower ones are slow
-CALL_STEP = 0.05
+CALL_STEP = 0.05  # of the bound's floor, by which a quick call raises the bound
+CALL_BACK_OFF = 0.85  # of the bound, that a slow or failed call leaves
+CALL_LEAST = 2.5  # times of lingering in a window: the least bound of a share under one call
 CALL_SLACK = 2  # least time-out of a call, of what nine in ten took
 CALL_LOST = 3  # times what nine in ten took: one without an answer by then is taken for lost
 CALL_MOST = 0.9  # of the longest call that a share under one ever has room for: none waits for more
@@ -61,7 +63,10 @@
 IDLE_LIMITS = (250_000, 1_000_000, 4_000_000, 15_000_000)
 STORM = 10  # asking for a core besides runs, per core, from which new connections are too many
 CALLERS_KEPT = 512
+TRIES_KEPT = 0.99  # of the count of tries, with each further one
+ASKED_MOST = 256  # requests of a class, from which what was counted of them is halved
 HEEDED = 1_000_000  # how long a caller keeps to what it was told, where the settings do not say
+MEDIAN, HIGH = 0.5, 0.9  # quantiles of what was learnt
 EDGES = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.55, 0.8, 1.2, 2.0, 4.0)  # of the SLA time
 INQUIRY, REFERENCED, ONCE_ONLY = "inquiry-like", "referenced", "once-only"
 Quotas = Callable[[int], float | None]  # by customer: txns a second of the whole fleet; none or 0: no bound
@@ -147,7 +152,7 @@
         self.lines[2 if txn.over_share else txn.resent].append(txn)
 
     def work(self) -> float:
-        return max(0.02, self.core_times.quantile(0.5)) * self.terms.sla_time / 1e6
+        return max(0.02, self.core_times.quantile(MEDIAN)) * self.terms.sla_time / 1e6
 
     def served(self) -> float:
         return (self.settled + 1) / (self.asked + 1)
@@ -206,7 +211,7 @@
     def _bounds(self, share: float) -> tuple[float, float]:
         """The most and the least that the bound of calls may be. One that no call can live under would never
         see one, and so never grow."""
-        most, least = CALL_SHARE * share, 2.5 * self.calls.linger / self.calls.window
+        most, least = CALL_SHARE * share, CALL_LEAST * self.calls.linger / self.calls.window
         return most, min(most, max(CALL_FLOOR * share, 1.0 if most >= 1 else least))
 
     def _bucket(self, share: float) -> tuple[float, float]:
@@ -315,10 +320,10 @@
         kind.asked, self.read = kind.asked + 1, self.read + 1
         self.absences.add(absence := self.callers.absence(caller, now))
         self.unmet = self.unmet or absence == float("inf")
-        self.tries, self.later = self.tries * 0.99 + 1, self.later * 0.99 + resent
+        self.tries, self.later = self.tries * TRIES_KEPT + 1, self.later * TRIES_KEPT + resent
         self.unread = age / terms.sla_time
         self.behind = self.behind + 1 if self.unread > (TARGET if self.stuck else STUCK) else 0
-        if kind.asked > 256:
+        if kind.asked > ASKED_MOST:
             kind.asked, kind.settled = kind.asked / 2, kind.settled / 2
         if self.leave_at is not None and landed > self.leave_at + self.settings.get("rules.drain_grace", 0):
             self.doomed.append(txn)
@@ -366,11 +371,11 @@
         kind.answered_from = max(kind.answered_from, (now - spent) * (outcome == Outcome.OK))
         if not lost:
             kind.call_times.add(spent / kind.terms.sla_time)
-        kind.quick = min(kind.quick, kind.call_times.quantile(0.5) * kind.terms.sla_time)
+        kind.quick = min(kind.quick, kind.call_times.quantile(MEDIAN) * kind.terms.sla_time)
         # It grows only while it binds: what is never used would let a crowd in before its slowness shows.
         # What is slow goes by the ledger as it was quickest: a call may take the hold target and be usual.
         if not lost and (outcome != Outcome.OK or spent > max(txn.terms.target, CALL_SLOW * kind.quick)):
-            self.call_cap = max(self.call_floor, self.call_cap * 0.85)
+            self.call_cap = max(self.call_floor, self.call_cap * CALL_BACK_OFF)
         elif self.calls_bound and outcome == Outcome.OK:
             self.call_cap = min(self.call_most, self.call_cap + CALL_STEP * max(1.0, self.call_floor))
             self.calls_bound = False
@@ -659,7 +664,7 @@
         return (
             self.busy >= FULL_CORES
             or late
-            or any(kind.answer_ages.quantile(0.9) > TIME_LIMIT for kind in self.products)
+            or any(kind.answer_ages.quantile(HIGH) > TIME_LIMIT for kind in self.products)
         )
 
     def _size_cap(self) -> None:
@@ -689,7 +694,7 @@
         if self.call_most >= 1:
             if self.cold and self.now - self.started < self.calls.linger:
                 return 0  # the calls of the life before may still linger, beside a whole share of new ones
-            usual = CALL_LOST * kind.call_times.quantile(0.9) * kind.terms.sla_time
+            usual = CALL_LOST * kind.call_times.quantile(HIGH) * kind.terms.sla_time
             lost = int(max(TARGET * txn.terms.sla_time, usual))
             if txn.calls_made < 2 and kind.kind == INQUIRY and lost + txn.terms.target < time_out:
                 time_out = lost  # against no answer ever: time is left for another
@@ -699,7 +704,7 @@
         spare = min(room - self.calls.time_taken(self.now), int(self.calls.longest(self.now)))
         # Against calls cut off before a slow answer can come, which cost room and linger for nothing: what
         # was cut off counts as a call of that length, so the least time-out doubles until answers come.
-        least = max(TICK, int(CALL_SLACK * kind.call_times.quantile(0.9) * kind.terms.sla_time))
+        least = max(TICK, int(CALL_SLACK * kind.call_times.quantile(HIGH) * kind.terms.sla_time))
         fits = 0 < spare >= min(time_out, least, CALL_MOST * min(room, self.calls.longest_ever()))
         return min(time_out, max(min(spare, least), spare // 2)) if fits else 0  # half is left for the next
 
