--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,8 +11,8 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import orjson
@@ -259,3 +259,14 @@
             made.close()
         with suppress(Exception):
             self.reactor._poller.close()
+
+
+@contextmanager
+def stepped(**changes: Any) -> Iterator[Stepped]:
+    """One instance, closed at the end; no defect may be in its log."""
+    made = Stepped(**changes)
+    try:
+        yield made
+        assert not [line for line in made.log.lines if line["code"] in ("exception", "reactor", "defect")]
+    finally:
+        made.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,7 +19,7 @@
 import orjson
 import pytest
 from helpers import MOST, SAMPLE, Net, Wire, until
-from loopback import CallerEnd, Far, KernelEnd, Stepped, address, bound, free_address
+from loopback import CallerEnd, Far, KernelEnd, address, bound, free_address, stepped
 from twisted.internet.error import CannotListenError, ConnectionRefusedError
 from twisted.python.failure import Failure
 
@@ -31,16 +31,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-@contextmanager
-def stepped(**changes: Any) -> Iterator[Stepped]:
-    made = Stepped(**changes)
-    try:
-        yield made
-        assert not [line for line in made.log.lines if line["code"] in ("exception", "reactor", "defect")]
-    finally:
-        made.close()
-
-
 # ---- closes
 
 
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -16,27 +16,15 @@
 
 import select
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any
 
 import pytest
 from helpers import MOST
-from loopback import CallerEnd, Stepped
+from loopback import CallerEnd, Stepped, stepped
 
 from limeridge.net.callers import CLOSE_AFTER, PARTING, SETTLE, STRANGERS, WHOLE
 
 
-@contextmanager
-def stepped(**changes: Any) -> Iterator[Stepped]:
-    made = Stepped(**changes)
-    try:
-        yield made
-        assert not [line for line in made.log.lines if line["code"] in ("exception", "reactor", "defect")]
-    finally:
-        made.close()
-
-
 class SlowTurn:
     """The clock of the callers' side, put forward as by a turn of the loop that takes long."""
 
