--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -57,6 +57,7 @@
         "limeridge.histogram",
         "limeridge.interface",
         "limeridge.net",
+        "limeridge.net.admission_filter",
         "limeridge.net.callers",
         "limeridge.net.kernel",
         "limeridge.net.ledger",
