Review: a keyed request that has run is refused at the door

Cause: Callers.admit declines by bodies in hand before the key is looked up, so also a repeat of a request that has run.

--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,172 @@
+"""Keyed requests are tried again while bad clients send hundreds of requests at once.
+
+Two service instances with the settings of deploy/sample.json. Clients send keyed requests (`book`) to n1; a client
+that stops waiting tries again at n1 with the same key, and one that is refused takes its request to n2, as the page
+allows after a refusal ("this try never ran").
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common"))
+
+from bad_clients import DOC, Counts, again_and_again  # noqa: E402
+from standins import (  # noqa: E402
+    HOST, Instance, Kernel, Records, Roster, Sent, Stub, World, free_port, run_case, sample_config, trouble_on,
+)
+
+SECONDS = 26.0
+KEYS_PER_S = 6.0
+WORK_S = 0.6  # of a keyed request
+WAIT_MS = 300  # of one try: "some wait briefly and try often"
+PATIENCE_S = 3.0  # of the client, over all tries
+SPELLS_AT, SPELL_S = tuple(range(2, 24, 2)), 0.6  # when the bad clients come, and for how long
+BAD_CLIENTS, CONNECTIONS_EACH = 8, 12  # 384 requests at once from each bad client
+KEY_WINDOW_S = 5.0  # keyTtl of deploy/sample.json
+
+
+@dataclass
+class Server:
+    """A service instance with its kernel, and the connections to it."""
+
+    world: World
+    instance: Instance
+    kernel: Kernel
+    port: int
+    stubs: list[Stub] = field(default_factory=list)
+
+    async def stub(self) -> Stub | None:
+        for each in self.stubs:
+            if each.usable and len(each.open) < 32:
+                return each
+        stub = Stub(self.world, self.kernel, self.port, len(self.stubs) + 1)
+        try:
+            await stub.connect()
+        except OSError:
+            return None
+        self.stubs.append(stub)
+        return stub
+
+
+async def start_server(world: World, folder: Path, name: str, records: Records) -> Server:
+    kernel = Kernel(world, 4, lambda sent: ([(WORK_S if sent.entry == "book" else 0.1, None)], "ok"))
+    await kernel.listen()
+    roster, _ = await asyncio.get_running_loop().create_datagram_endpoint(Roster, local_addr=(HOST, 0))
+    port = free_port()
+    config = sample_config(name, port, kernel.port, records.port, roster.get_extra_info("sockname")[1])
+    config["limits"] |= {"memory_mb": 96, "sockets": 512}
+    server = Server(world, Instance(world, folder, name, config), kernel, port)
+    server.instance.start()
+    return server
+
+
+class Client:
+    """A client with one keyed request."""
+
+    def __init__(self, world: World, servers: list[Server], key: str) -> None:
+        self.world, self.servers, self.key = world, servers, key
+        self.tries: list[Sent] = []  # at the first server
+        self.elsewhere: list[Sent] = []
+
+    async def live(self) -> None:
+        end = time.time() + PATIENCE_S
+        while time.time() < end:
+            sent = await self.ask(self.servers[0], self.tries)
+            if sent is None or sent.kind in ("served", "refused"):
+                break
+            await asyncio.sleep(0.02)
+        if self.tries and self.tries[-1].kind == "refused":
+            await self.ask(self.servers[1], self.elsewhere)
+
+    async def ask(self, server: Server, tries: list[Sent]) -> Sent | None:
+        stub = await server.stub()
+        if stub is None:
+            return None
+        wait_ms = WAIT_MS if tries is self.tries else 2_500
+        sent = stub.ask(
+            "book", wait_ms, key=self.key, doc=self.key.encode(),
+            note=f"{self.key} at {server.instance.name}, try {len(tries) + 1}",
+            **({"r": 1} if self.tries else {}),
+        )
+        tries.append(sent)
+        give_up = time.time() + wait_ms / 1_000
+        while time.time() < give_up and sent.answered_at is None and stub.ended_at is None:
+            await asyncio.sleep(0.005)
+        if sent.answered_at is None and stub.ended_at is None:
+            stub.revoke(sent)
+        return sent
+
+
+async def main(world: World, folder: Path) -> int:
+    records = Records(world)
+    await records.listen()
+    servers = [await start_server(world, folder, name, records) for name in ("n1", "n2")]
+    try:
+        for server in servers:
+            if not await server.instance.ready(server.port):
+                world.say("an instance did not get ready")
+                return 2
+        clients: list[Client] = []
+        tasks: list[asyncio.Task[None]] = []
+        counts, begin = Counts(), time.time()
+        spells = list(SPELLS_AT) if trouble_on() else []
+        while (elapsed := time.time() - begin) < SECONDS:
+            clients.append(Client(world, servers, f"booking-{len(clients)}"))
+            tasks.append(asyncio.create_task(clients[-1].live()))
+            if spells and elapsed >= spells[0]:
+                end = begin + spells.pop(0) + SPELL_S
+                world.note(f"{BAD_CLIENTS} bad clients send {32 * CONNECTIONS_EACH} requests at once each")
+                tasks += [
+                    asyncio.create_task(
+                        again_and_again(servers[0].port, "look", 3_000, False, DOC, end, counts)
+                    )
+                    for _ in range(BAD_CLIENTS * CONNECTIONS_EACH)
+                ]
+            await asyncio.sleep(1 / KEYS_PER_S)
+        await asyncio.wait(tasks, timeout=8.0)
+        if any(server.instance.process.poll() is not None for server in servers):
+            world.say("an instance ended by itself")
+        return judge(world, clients, counts)
+    finally:
+        for server in servers:
+            server.instance.end()
+
+
+def judge(world: World, clients: list[Client], counts: Counts) -> int:
+    """Rule 2: once a try of a keyed request has run, no try that comes within its window is refused."""
+    broken = repeats = both = 0
+    for client in clients:
+        for place, sent in enumerate(client.tries):
+            earlier = [
+                each for each in client.tries[:place]
+                if each.runs and sent.sent_at - each.sent_at < KEY_WINDOW_S - 0.5
+            ]
+            repeats += bool(earlier)
+            if earlier and sent.kind == "refused":
+                broken += 1
+                again = any(each.runs for each in client.elsewhere)
+                both += again
+                world.say(
+                    f"BROKEN: {client.key}: {sent.ref} was refused {sent.sent_at - earlier[0].sent_at:.2f} s "
+                    f"after {earlier[0].ref}, which was run{'; run once more at n2' if again else ''}"
+                )
+    kinds = {
+        kind: sum(sent.kind == kind for client in clients for sent in client.tries)
+        for kind in ("served", "refused", "failed")
+    }
+    world.say(f"{len(clients)} keys, {repeats} repeats of a request that had run; answers at n1: {kinds}")
+    world.say(f"bad clients: {counts}")
+    world.say(f"refused though an earlier try had run: {broken}; of these run at both instances: {both}")
+    if repeats < 20:
+        return 2
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    run_case(main, FOLDER)
