--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """Keyed requests are tried again while bad clients send hundreds of requests at once.
 
-Two service instances with the settings of deploy/sample.json. Clients send keyed requests (`book`) to n1; a
-client that stops waiting tries again at n1 with the same key, and one that is refused takes its request to n2,
-as the page allows after a refusal ("this try never ran").
+Two service instances with the settings of deploy/sample.json. Clients send keyed requests (`book`) to n1.
+One that stops waiting tries again at n1 with the same key; one that is refused takes its request to n2, as
+the page allows after a refusal ("this try never ran").
 """
 
 from __future__ import annotations
