--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -143,7 +143,7 @@
                     writer.close()
                     return
                 self.command(command)
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
             if self.link is writer:
@@ -315,7 +315,7 @@
                     b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n%b" % (status, extra, len(reply), reply)
                 )
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
             self.writers.discard(writer)
@@ -416,7 +416,7 @@
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 self.handle(message)
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         self.ended_at = time.time()
         if self.open:
@@ -550,6 +550,9 @@
 
     world = World(folder / "record.txt")
     code = 2
+    # Whoever ends the script early leaves no instance behind: the case's own `finally` still runs.
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))
     try:
         with tempfile.TemporaryDirectory() as temporary:
             code = asyncio.run(asyncio.wait_for(main(world, Path(temporary)), 115))
