--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from bad_clients import DOC, Counts, again_and_again  # noqa: E402
+from bad_clients import Counts, again_and_again  # noqa: E402
 from standins import (  # noqa: E402
     HOST,
     Instance,
@@ -32,12 +32,12 @@
     trouble_on,
 )
 
-SECONDS = 26.0
-KEYS_PER_S = 6.0
-WORK_S = 0.6  # of a keyed request
-WAIT_MS = 300  # of one try: "some wait briefly and try often"
+SECONDS = 46.0
+KEYS_PER_S = 8.0
+WORK_S = 0.4  # of a keyed request
+WAIT_MS = 200  # of one try: "some wait briefly and try often"
 PATIENCE_S = 3.0  # of the client, over all tries
-SPELLS_AT, SPELL_S = tuple(range(2, 24, 2)), 0.6  # when the bad clients come, and for how long
+SPELLS_AT, SPELL_S = tuple(range(2, 44, 2)), 0.8  # when the bad clients come, and for how long
 BAD_CLIENTS, CONNECTIONS_EACH = 8, 12  # 384 requests at once from each bad client
 KEY_WINDOW_S = 5.0  # keyTtl of deploy/sample.json
 
@@ -137,9 +137,7 @@
                 end = begin + spells.pop(0) + SPELL_S
                 world.note(f"{BAD_CLIENTS} bad clients send {32 * CONNECTIONS_EACH} requests at once each")
                 tasks += [
-                    asyncio.create_task(
-                        again_and_again(servers[0].port, "look", 3_000, False, DOC, end, counts)
-                    )
+                    asyncio.create_task(again_and_again(servers[0].port, "look", end, counts))
                     for _ in range(BAD_CLIENTS * CONNECTIONS_EACH)
                 ]
             await asyncio.sleep(1 / KEYS_PER_S)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from bad_clients import DOC, Counts, again_and_again  # noqa: E402
+from bad_clients import Counts, again_and_again  # noqa: E402
 from standins import (  # noqa: E402
     HOST,
     Instance,
@@ -81,9 +81,7 @@
             trouble = False
             world.say(f"{BAD_CLIENTS} bad clients send {32 * CONNECTIONS_EACH} keyed requests at once each")
             tasks += [
-                asyncio.create_task(
-                    again_and_again(port, "book", 3_000, True, DOC, begin + BAD_UNTIL_S, counts)
-                )
+                asyncio.create_task(again_and_again(port, "book", begin + BAD_UNTIL_S, counts, key=None))
                 for _ in range(BAD_CLIENTS * CONNECTIONS_EACH)
             ]
         if elapsed >= next_ask:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from bad_clients import DOC, Counts, again_and_again  # noqa: E402
+from bad_clients import Counts, again_and_again  # noqa: E402
 from standins import (  # noqa: E402
     HOST,
     Instance,
@@ -85,7 +85,7 @@
             world.say(f"{BAD_CLIENTS} bad clients send {32 * CONNECTIONS_EACH} requests at once each")
             tasks += [
                 asyncio.create_task(
-                    again_and_again(port, "look", wait_ms, False, DOC, begin + BAD_UNTIL_S, counts)
+                    again_and_again(port, "look", begin + BAD_UNTIL_S, counts, wait_ms=wait_ms)
                 )
                 for _ in range(BAD_CLIENTS * CONNECTIONS_EACH)
             ]
--- a/review/common/bad_clients.py
+++ b/review/common/bad_clients.py
@@ -19,7 +19,8 @@
 OPEN = 32
 
 
-def frames(entry: str, wait_ms: float, keyed: bool, doc: str) -> bytes:
+def frames(entry: str, wait_ms: float, key: str | None, doc: str) -> bytes:
+    """32 requests; `key` is the key of them all, None for one of its own each, empty for none."""
     parts: list[bytes] = []
     for number in range(1, OPEN + 1):
         params: dict[str, Any] = {
@@ -33,8 +34,8 @@
             "p": 0.5,
             "doc": doc,
         }
-        if keyed:
-            params["k"] = f"{random.getrandbits(64):016x}"
+        if key != "":
+            params["k"] = f"{random.getrandbits(64):016x}" if key is None else key
         body = json.dumps({"jsonrpc": "2.0", "id": number, "method": entry, "params": params}).encode()
         parts.append(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
     return b"".join(parts)
@@ -80,18 +81,20 @@
             writer.close()
 
 
-async def burst(port: int, connections: int, entry: str, counts: Counts) -> None:
-    """All connections at once, 32 requests on each."""
-    data = [frames(entry, 3_000, False, DOC) for _ in range(connections)]
-    await asyncio.gather(*(one_connection(port, each, counts) for each in data))
-
-
 async def again_and_again(
-    port: int, entry: str, wait_ms: float, keyed: bool, doc: str, end: float, counts: Counts
+    port: int,
+    entry: str,
+    end: float,
+    counts: Counts,
+    *,
+    wait_ms: float = 3_000,
+    key: str | None = "",
+    doc: str = DOC,
+    patience_s: float = 4.0,
 ) -> None:
     """One bad client: hundreds of requests, and the same again as soon as it is turned away."""
     while time.time() < end:
         before = counts.closed
-        await one_connection(port, frames(entry, wait_ms, keyed, doc), counts)
+        await one_connection(port, frames(entry, wait_ms, key, doc), counts, patience_s)
         if counts.closed != before:
             await asyncio.sleep(0.01)
