--- a/review/1/case.py
+++ b/review/1/case.py
@@ -151,14 +151,16 @@
 
 
 def judge(world: World, clients: list[Client], counts: Counts) -> int:
-    """Rule 2: once a try of a keyed request has run, no try that comes within its window is refused."""
+    """Rule 2: once a try of a keyed request has run, no later try within its window is refused."""
     broken = repeats = both = 0
     for client in clients:
         for place, sent in enumerate(client.tries):
             earlier = [
                 each
                 for each in client.tries[:place]
-                if each.runs and sent.sent_at - each.sent_at < KEY_WINDOW_S - 0.5
+                if each.runs
+                and each.run_at < sent.sent_at
+                and sent.sent_at - each.sent_at < KEY_WINDOW_S - 0.5
             ]
             repeats += bool(earlier)
             if earlier and sent.kind == "refused":
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -57,6 +57,7 @@
     gone: bool = False  # revoked, or its connection ended
     honest: bool = True
     runs: int = 0
+    run_at: float = 0.0  # when the first run began
     answers: int = 0
     note: str = ""
 
@@ -216,6 +217,7 @@
             return
         parts, end = self.plan(sent)
         sent.runs += 1
+        sent.run_at = sent.run_at or time.time()
         if not self.world.quiet:
             self.world.note(f"kernel: {ref} starts, key={sent.key or '-'} ({sent.note})")
         run = self.runs[ref] = Run(ref, parts, end)
