--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """Keyed requests are tried again while bad clients send hundreds of requests at once.
 
-Two service instances with the settings of deploy/sample.json. Clients send keyed requests (`book`) to n1; a client
-that stops waiting tries again at n1 with the same key, and one that is refused takes its request to n2, as the page
-allows after a refusal ("this try never ran").
+Two service instances with the settings of deploy/sample.json. Clients send keyed requests (`book`) to n1; a
+client that stops waiting tries again at n1 with the same key, and one that is refused takes its request to n2,
+as the page allows after a refusal ("this try never ran").
 """
 
 from __future__ import annotations
@@ -18,7 +18,18 @@
 
 from bad_clients import DOC, Counts, again_and_again  # noqa: E402
 from standins import (  # noqa: E402
-    HOST, Instance, Kernel, Records, Roster, Sent, Stub, World, free_port, run_case, sample_config, trouble_on,
+    HOST,
+    Instance,
+    Kernel,
+    Records,
+    Roster,
+    Sent,
+    Stub,
+    World,
+    free_port,
+    run_case,
+    sample_config,
+    trouble_on,
 )
 
 SECONDS = 26.0
@@ -90,7 +101,10 @@
             return None
         wait_ms = WAIT_MS if tries is self.tries else 2_500
         sent = stub.ask(
-            "book", wait_ms, key=self.key, doc=self.key.encode(),
+            "book",
+            wait_ms,
+            key=self.key,
+            doc=self.key.encode(),
             note=f"{self.key} at {server.instance.name}, try {len(tries) + 1}",
             **({"r": 1} if self.tries else {}),
         )
@@ -144,7 +158,8 @@
     for client in clients:
         for place, sent in enumerate(client.tries):
             earlier = [
-                each for each in client.tries[:place]
+                each
+                for each in client.tries[:place]
                 if each.runs and sent.sent_at - each.sent_at < KEY_WINDOW_S - 0.5
             ]
             repeats += bool(earlier)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
 """Bad clients send keyed requests, each with a key of its own, while a client stub asks as usual.
 
-One service instance with the settings of deploy/sample.json. The platform's stand-in looks at the memory of the
-process twenty times a second and kills it when it is over `limits.memory_mb`.
+One service instance with the settings of deploy/sample.json. The platform's stand-in looks at the memory of
+the process many times a second and kills it when it is over `limits.memory_mb`.
 """
 
 from __future__ import annotations
@@ -16,7 +16,18 @@
 
 from bad_clients import DOC, Counts, again_and_again  # noqa: E402
 from standins import (  # noqa: E402
-    HOST, Instance, Kernel, Records, Roster, Sent, Stub, World, free_port, run_case, sample_config, trouble_on,
+    HOST,
+    Instance,
+    Kernel,
+    Records,
+    Roster,
+    Sent,
+    Stub,
+    World,
+    free_port,
+    run_case,
+    sample_config,
+    trouble_on,
 )
 
 MEMORY_MB, SOCKETS = 96, 512
@@ -60,13 +71,15 @@
             killed_at = elapsed
             break
         if memory > MEMORY_MB:
-            world.say(f"BROKEN: {memory:.1f} MB of {MEMORY_MB} MB after {elapsed:.1f} s: killed by the platform")
+            world.say(
+                f"BROKEN: {memory:.1f} MB of {MEMORY_MB} MB after {elapsed:.1f} s: killed by the platform"
+            )
             instance.end()
             killed_at = elapsed
             break
         if trouble and elapsed >= BAD_FROM_S:
             trouble = False
-            world.say(f"{BAD_CLIENTS} bad clients send {32 * CONNECTIONS_EACH} keyed requests at once each, and again")
+            world.say(f"{BAD_CLIENTS} bad clients send {32 * CONNECTIONS_EACH} keyed requests at once each")
             tasks += [
                 asyncio.create_task(
                     again_and_again(port, "book", 3_000, True, DOC, begin + BAD_UNTIL_S, counts)
--- a/review/common/bad_clients.py
+++ b/review/common/bad_clients.py
@@ -1,7 +1,7 @@
-"""Bad clients (kit/service/LATER.md): well-formed requests at full speed under ids that the kernel does not know.
+"""Bad clients (kit/service/LATER.md): requests at full speed under ids that the kernel does not know.
 
-They send hundreds of requests at once, read what they are sent, and come again as soon as they were turned away.
-Each connection has at most 32 requests open, as many as the page allows.
+They send hundreds of requests at once, read what they are sent, and come again as soon as they were turned
+away. Each connection has at most 32 requests open, as many as the page allows.
 """
 
 from __future__ import annotations
@@ -23,8 +23,15 @@
     parts: list[bytes] = []
     for number in range(1, OPEN + 1):
         params: dict[str, Any] = {
-            "i": f"{random.getrandbits(64):016x}", "s": int(time.time() * 1_000), "f": 90, "t": "acme",
-            "d": wait_ms, "h": 20.0, "m": 0.5, "p": 0.5, "doc": doc,
+            "i": f"{random.getrandbits(64):016x}",
+            "s": int(time.time() * 1_000),
+            "f": 90,
+            "t": "acme",
+            "d": wait_ms,
+            "h": 20.0,
+            "m": 0.5,
+            "p": 0.5,
+            "doc": doc,
         }
         if keyed:
             params["k"] = f"{random.getrandbits(64):016x}"
