A repeat of a keyed request that ran is not declined at the door for lack of memory

Evidence: in the record of the case every such answer has the text "no memory", which is said only there; the brain's own declines look at the earlier try.

Facade.rejection now looks the key up first: a repeat of a request that ran gets the result that is kept, or fails; another is declined as before.

--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -204,8 +204,7 @@
         """Waits until the txn may run (RUN) or is finished (DONE); in that case its answer has been sent."""
         now = self.now()
         if self._is_key_conflict(request, now):
-            self.log.event("bad-message", "key of another request")
-            request.answer(Answer(AnswerKind.VOIDED, why="key of another request"))
+            request.answer(self._key_conflict_answer())
             return succeed(Step(NextAction.DONE))
         self.last_ref += 1
         prior = self._find_prior(request, now)
@@ -234,6 +233,19 @@
             self._record_attempt(entry, now)
         return self._await_step(entry)
 
+    def rejection(self, request: Request, why: str) -> Answer:
+        """Returns the answer to a request that can't be taken up, for the reason `why`. A decline says that
+        no attempt under its key ran, so a repeat of one that ran gets the result that is kept, or fails."""
+        now = self.now()
+        if self._is_key_conflict(request, now):
+            return self._key_conflict_answer()
+        prior = self._find_prior(request, now)
+        if prior is None or not prior.txn.ran:
+            return Answer(AnswerKind.DECLINED, why=why)
+        if prior.result is None:
+            return Answer(AnswerKind.VOIDED, why=why)
+        return Answer(AnswerKind.SETTLED, doc=prior.result)
+
     def report(self, request: Request, event: RunEvent) -> Deferred[Step]:
         """Passes on an event of a run or call and waits for the next step, which is WAIT if another event has
         to come first."""
@@ -482,6 +494,10 @@
             for entry in self._known_attempts(request, now)
         )
 
+    def _key_conflict_answer(self) -> Answer:
+        self.log.event("bad-message", "key of another request")
+        return Answer(AnswerKind.VOIDED, why="key of another request")
+
     def _find_prior(self, request: Request, now: int) -> Entry | None:
         """Returns the attempt that this request repeats: preferably one that ran, otherwise the latest."""
         attempts = self._known_attempts(request, now)
--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -303,6 +303,7 @@
     stopped_accepting: bool  # while draining, once the listening socket is closed
 
     def serve(self, request: Request) -> None: ...
+    def rejection(self, request: Request, why: str) -> Answer: ...
     def withdraw(self, request: Request) -> None: ...
     def value(self) -> float | None: ...
     def idle_limit(self) -> int: ...
@@ -719,10 +720,10 @@
         )
 
     def admit(self, request: Request) -> None:
-        """Passes the txn on, or declines it if the documents of open txns take too much memory."""
+        """Passes the txn on, or answers it at once if the documents of open txns take too much memory."""
         if self.held_bytes + txn_memory_bytes(request) > self.max_held_bytes:
             self.log.event("turned-away", "held-bodies")
-            request.answer(Answer(AnswerKind.DECLINED, why="no memory"))
+            request.answer(self.service.rejection(request, "no memory"))
             return
         self.held_bytes += txn_memory_bytes(request)
         self.service.serve(request)
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -271,6 +271,9 @@
         job = self.jobs[request.ref] = Job(request, self.skippable_calls[request.product])
         ensureDeferred(self.handle(job)).addErrback(self.log_failure, "txn-fault")
 
+    def rejection(self, request: Request, why: str) -> Answer:
+        return self.facade.rejection(request, why)
+
     async def handle(self, job: Job) -> None:
         request, step = job.request, None
         try:
