Keep of a keyed request what its repeats need, bounded in bytes, and nothing if it did not run

Cause: the facade kept every attempt under a key whole, with body and connection, until their number had doubled, and then for a deadline after its end, whether it had run or not; nothing bounded their count or bytes. Evidence: live Request objects after all were answered: 224 of 400 keyed requests that the kernel did not know, 408 of 408 taken back, 100 of 100 that ran.

limeridge/attempts.py keeps the brain's record, a digest of tenant and body, the time and the result (1.5 kB). Attempts that end without a run go at their end. Keys and results share an eighth of the memory: results give way, a key that was started never does, and a request with a new key is declined where keys fill their part (log code kept-keys). A search under a key looks at two attempts at most.

Mended with it, as the lines are gone: a key was kept for the read delay of the class that came last, so that a repeat within its window was declined; a repeat that joined a repeat which was taken back waited in vain.

tests/test_kept_for_clients.py: seven of nine fail on the code before (two of them as it lacks the names).

--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -1,7 +1,7 @@
 """Adapts the brain's pull interface to the network code: `submit` waits until a txn may run or has its final
 answer, `report` passes on how a run or call went and returns the next step, `tick` advances time.
 
-It owns the single Brain of the instance, the open txns, the idempotency keys and results kept for repeats,
+It owns the single Brain of the instance, the open txns, the attempts and results kept under idempotency keys,
 and the check that each txn gets exactly one final answer. It must never decide (that is the brain's task),
 open a socket or read the wall clock: time comes from the clock that it is given, and its callers see only
 steps and answers.
@@ -9,20 +9,21 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred, succeed
 
+from limeridge.attempts import Attempt, AttemptTable, request_fingerprint
 from limeridge.brain import Brain, Quotas
 from limeridge.interface import Decision, Outcome, Stage, Txn, Verb
 from limeridge.words import GAUGES
 
 MAX_RESULTS_BYTES = 8 << 20  # results kept for repeats; the oldest are evicted first, their keys stay
-RESULT_OVERHEAD_BYTES = 2_000  # memory of a kept txn besides its result
+MAX_KEPT_BYTES = 24 << 20  # keys and results, if the host does not say
 OVERDUE_MARGIN_US = 20_000  # after the due time the guard answers itself, in case a defect lost the txn
 DEFECT_RETRY_DELAY_S = 0.05  # delay after a defect in the brain until its decisions are pulled again
 
@@ -134,16 +135,15 @@
 
 @dataclass(slots=True, eq=False)
 class Entry:
-    """The facade's record of an open txn or of one whose key is kept."""
+    """The facade's record of an open txn."""
 
     request: Request
     txn: Txn
     pending: Deferred[Step] | None = None
     step: Step | None = None  # decided but not delivered to the handler yet
     answered: bool = False
-    waiting_repeats: list[Entry] = field(default_factory=list)  # answered when this one ends
-    prior: Entry | None = None  # the earlier attempt whose result this repeat gets
-    result: str | None = None
+    attempt: Attempt | None = None  # under its key, if it has one
+    prior: Attempt | None = None  # the earlier attempt whose result this repeat gets
 
 
 class LogSink(Protocol):
@@ -162,7 +162,7 @@
         clock: Any,
         log: LogSink,
         wake: Callable[[], None],
-        max_results_bytes: int = MAX_RESULTS_BYTES,
+        max_kept_bytes: int = MAX_KEPT_BYTES,
         quotas: Quotas | None = None,
     ) -> None:
         self.settings, self.seed, self.clock, self.log, self.wake = dict(settings), seed, clock, log, wake
@@ -174,18 +174,16 @@
         self.last_ref = 0
         self.open: dict[int, Entry] = {}
         self.by_ref: dict[str, Entry] = {}
-        self.keys: dict[tuple[int, str], list[tuple[Entry, int]]] = {}  # attempts, with expiry time
-        self.keyed_entries: dict[int, Entry] = {}  # entries in `keys`, by the txn's ref
-        self.prune_at = 256  # size of `keyed_entries` at which expired keys are removed
-        self.results: OrderedDict[Entry, int] = OrderedDict()
-        self.results_bytes, self.max_results_bytes = 0, max_results_bytes
+        self.attempts = AttemptTable(max_kept_bytes, MAX_RESULTS_BYTES)
         self.timer: Any = None  # for the wake-up that the brain asked for last
         self.applying_decisions = False
         self.decision_timer: Any = None  # pending call of `_apply_decisions`
         self.changed_entries: deque[Entry] = deque()  # their handlers may have a step to take
-        self.ready_repeats: list[Entry] = []  # repeats whose original has ended
-        self.max_read_delays_us: dict[int, int] = {}  # by product, from a txn's arrival until it is read
-        self._update_max_read_delays()
+        # Repeats that wait for the run of a txn, by its ref and by their own, and those whose run has ended.
+        self.waiting_repeats: dict[int, dict[int, Entry]] = {}
+        self.ready_repeats: list[Entry] = []
+        self.max_read_delay_us = 0  # from a txn's arrival until it is read
+        self._update_max_read_delay()
         self.brain = Brain(self.settings, seed, self.now(), quotas)
         self._apply_decisions()
 
@@ -203,11 +201,17 @@
     def submit(self, request: Request) -> Deferred[Step]:
         """Waits until the txn may run (RUN) or is finished (DONE); in that case its answer has been sent."""
         now = self.now()
-        if self._is_key_conflict(request, now):
+        fingerprint = request_fingerprint(request.customer, request.doc) if request.key else b""
+        known = self._known_attempts(request, now)
+        prior = known[0] if known else None
+        if any(each.fingerprint != fingerprint for each in known):
             request.answer(self._key_conflict_answer())
             return succeed(Step(NextAction.DONE))
+        if request.key and not (prior and prior.txn.ran) and not self.attempts.has_room(request.key):
+            self.log.event("turned-away", "kept-keys")
+            request.answer(Answer(AnswerKind.DECLINED, why="no memory"))
+            return succeed(Step(NextAction.DONE))
         self.last_ref += 1
-        prior = self._find_prior(request, now)
         try:
             txn = self.brain.on_txn_arrived(
                 now,
@@ -230,17 +234,20 @@
         entry = Entry(request, txn)
         self.open[self.last_ref] = self.by_ref[request.ref] = entry
         if request.key:
-            self._record_attempt(entry, now)
+            entry.attempt = self.attempts.add(txn, request.key, fingerprint, now)
         return self._await_step(entry)
 
     def rejection(self, request: Request, why: str) -> Answer:
         """Returns the answer to a request that can't be taken up, for the reason `why`. A decline says that
         no attempt under its key ran, so a repeat of one that ran gets the result that is kept, or fails."""
-        now = self.now()
-        if self._is_key_conflict(request, now):
+        known = self._known_attempts(request, self.now())
+        if not known:
+            return Answer(AnswerKind.DECLINED, why=why)
+        fingerprint = request_fingerprint(request.customer, request.doc)
+        if any(each.fingerprint != fingerprint for each in known):
             return self._key_conflict_answer()
-        prior = self._find_prior(request, now)
-        if prior is None or not prior.txn.ran:
+        prior = known[0]
+        if not prior.txn.ran:
             return Answer(AnswerKind.DECLINED, why=why)
         if prior.result is None:
             return Answer(AnswerKind.VOIDED, why=why)
@@ -279,6 +286,7 @@
         if entry is not None and not entry.answered and entry.request is request:
             entry.answered = True
             self._notify_brain(self.brain.on_caller_gone, entry.txn)
+            self._close_if_over(entry)
             self.changed_entries.append(entry)
             self._schedule_decisions()
 
@@ -290,6 +298,7 @@
             return Step(NextAction.DONE)
         self._send_answer(entry, Answer(AnswerKind.VOIDED, why=why))
         self._notify_brain(self.brain.on_caller_gone, entry.txn)
+        self._close_if_over(entry)
         self.changed_entries.append(entry)
         self._apply_decisions()
         return Step(NextAction.DONE if entry.txn.stage is Stage.OVER else NextAction.WAIT)
@@ -314,19 +323,20 @@
         if idle != int(self.settings.get("instance.idle", 0)):
             self.idle_limit = idle
         self.settings = dict(settings)
-        self._update_max_read_delays()
+        self._update_max_read_delay()
 
-    def _update_max_read_delays(self) -> None:
-        """Keeps the maximum over all revisions: a txn that arrived under an earlier one may still be read as
-        late as that one allows."""
+    def _update_max_read_delay(self) -> None:
+        """Keeps the maximum over all products and revisions: a txn that arrived under an earlier one may
+        still be read as late as that one allows."""
         for product in range(int(self.settings.get("products.count", 0))):
             expiry = int(self.settings.get(f"products.{product}.expiry", 0))
-            self.max_read_delays_us[product] = max(self.max_read_delays_us.get(product, 0), expiry)
+            self.max_read_delay_us = max(self.max_read_delay_us, expiry)
 
     def guard(self) -> None:
         """Answers txns that the brain has lost, once they are past their due time. Ticks the brain first,
         since after a pause of the machine this may run before the brain's own wake-up."""
         now = self.now()
+        self.attempts.expire(now - self.max_read_delay_us)
         overdue = [e for e in self.open.values() if not e.answered and e.txn.due < now - OVERDUE_MARGIN_US]
         if overdue:
             self.tick(now, None)
@@ -393,15 +403,11 @@
 
     def _deliver_step(self, entry: Entry) -> None:
         """Resumes the txn's handler if its next step is known."""
+        self._close_if_over(entry)
         stage = entry.txn.stage
-        over = stage is Stage.OVER
-        if over:
-            self.open.pop(entry.txn.ref, None)
-            if self.by_ref.get(entry.request.ref) is entry:
-                del self.by_ref[entry.request.ref]
         if entry.pending is None:
             return
-        if over:
+        if stage is Stage.OVER:
             step = Step(NextAction.DONE)
         elif entry.step is not None:
             step = entry.step
@@ -413,6 +419,18 @@
         pending, entry.pending = entry.pending, None
         pending.callback(step)
 
+    def _close_if_over(self, entry: Entry) -> None:
+        """Removes the entry of a txn that is over from the tables. A key is kept if its run was started."""
+        txn = entry.txn
+        if txn.stage is not Stage.OVER or self.open.pop(txn.ref, None) is None:
+            return
+        if self.by_ref.get(entry.request.ref) is entry:
+            del self.by_ref[entry.request.ref]
+        if entry.attempt is not None:
+            self.attempts.close(entry.attempt)
+        if entry.prior is not None:
+            self.waiting_repeats.get(entry.prior.txn.ref, {}).pop(txn.ref, None)
+
     def _apply_decision(self, decision: Decision) -> None:
         entry = None if decision.txn is None else self.open.get(decision.txn.ref)
         verb = decision.verb
@@ -436,14 +454,16 @@
             self._send_answer(entry, Answer(AnswerKind.VOIDED, why="given up"))
         elif verb is Verb.RUN:
             entry.step = Step(NextAction.RUN)
+            if entry.attempt is not None:
+                self.attempts.start(entry.attempt)
         elif verb is Verb.CALL:
             entry.step = Step(NextAction.CALL, decision.us)
         elif verb is Verb.SKIP:
             entry.step = Step(NextAction.SKIP_CALL)
-        elif verb is Verb.MEMO:
-            self._record_attempt(entry, self.now() + decision.us)
-        elif verb is Verb.FORGET:
-            self._record_attempt(entry, 0)
+        elif verb is Verb.MEMO and entry.attempt is not None:
+            entry.attempt.kept_until = self.now() + decision.us
+        elif verb is Verb.FORGET and entry.attempt is not None:
+            entry.attempt.kept_until = 0
         elif verb is Verb.ATTACH:
             self._add_repeat(entry)
         # HALT is ignored: the kernel's protocol has no such command, and the run frees its place when it
@@ -461,98 +481,45 @@
             self.log.fault("answer-fault", error, ref=entry.request.ref)
 
     def _end_run(self, entry: Entry, event: RunEnded, now: int) -> None:
+        attempt = entry.attempt
         if event.end is EndStatus.OK:
             self._send_answer(entry, Answer(AnswerKind.SETTLED, doc=event.doc))
-            if entry.request.key:
-                self._keep_result(entry, event.doc)
+            if attempt is not None:
+                self.attempts.keep_result(attempt, event.doc)
         else:
             self._send_answer(entry, Answer(AnswerKind.VOIDED, why=f"run {event.end.value}"))
-            if event.end is EndStatus.NEVER_BEGAN and entry.request.key:
-                self._forget_attempt(entry)
+            if event.end is EndStatus.NEVER_BEGAN and attempt is not None:
+                self.attempts.forget(attempt)
+        self.ready_repeats += self.waiting_repeats.pop(entry.txn.ref, {}).values()
         self.brain.on_run_ended(now, entry.txn, OUTCOMES[event.end], 0)
-        self.ready_repeats += entry.waiting_repeats
-        entry.waiting_repeats = []
+        self._close_if_over(entry)
 
     # ---- idempotency keys, repeats and results
 
-    def _known_attempts(self, request: Request, now: int) -> list[Entry]:
-        """Returns the known attempts under the request's key. Expiry of the kept ones is judged at the time
-        the request arrived, not at the time it is read."""
+    def _known_attempts(self, request: Request, now: int) -> list[Attempt]:
+        """Returns the attempts that the request repeats, the one whose result it may get first. Expiry is
+        judged at the time the request arrived, not at the time it is read."""
         if not request.key:
             return []
-        return [
-            entry
-            for entry, until in self.keys.get((request.product, request.key), [])
-            if entry.txn.stage is not Stage.OVER or until > now - request.age_us
-        ]
-
-    def _is_key_conflict(self, request: Request, now: int) -> bool:
-        """Whether its key belongs to a request with another body or tenant. It is no repeat then, so it must
-        not get that one's result, and it must not run under a key that is taken."""
-        return any(
-            (entry.request.doc, entry.request.customer) != (request.doc, request.customer)
-            for entry in self._known_attempts(request, now)
-        )
+        return self.attempts.find(request.product, request.key, now - request.age_us)
 
     def _key_conflict_answer(self) -> Answer:
+        """The answer to a request whose key belongs to one with another body or tenant. It is no repeat then,
+        so it must not get that one's result, and it must not run under a key that is taken."""
         self.log.event("bad-message", "key of another request")
         return Answer(AnswerKind.VOIDED, why="key of another request")
 
-    def _find_prior(self, request: Request, now: int) -> Entry | None:
-        """Returns the attempt that this request repeats: preferably one that ran, otherwise the latest."""
-        attempts = self._known_attempts(request, now)
-        return next((entry for entry in attempts if entry.txn.ran), attempts[-1] if attempts else None)
-
-    def _record_attempt(self, entry: Entry, until: int) -> None:
-        """Keeps the attempt under its key until the given time. It is recorded as soon as it is read, so that
-        two attempts that are read together find each other. One that ran stays for a while after its
-        expiry, since txns are not read in the order of their arrival."""
-        now, key = self.now(), (entry.request.product, entry.request.key)
-        max_read_delay_us = self.max_read_delays_us.get(entry.request.product, 0)
-        attempts = [
-            (other, end)
-            for other, end in self.keys.get(key, [])
-            if other is not entry
-            and (other.txn.stage is not Stage.OVER or (other.txn.ran and end + max_read_delay_us > now))
-        ]
-        self.keys[key] = [*attempts, (entry, until)]
-        self.keyed_entries[entry.txn.ref] = entry
-        if len(self.keyed_entries) > self.prune_at:
-            self.keys = {
-                key: attempts
-                for key, attempts in self.keys.items()
-                if any(
-                    other.txn.stage is not Stage.OVER or end + max_read_delay_us > now
-                    for other, end in attempts
-                )
-            }
-            self.keyed_entries = {
-                other.txn.ref: other for attempts in self.keys.values() for other, _ in attempts
-            }
-            for expired in [each for each in self.results if each.txn.ref not in self.keyed_entries]:
-                self.results_bytes -= self.results.pop(expired)
-            self.prune_at = 2 * len(self.keyed_entries) + 256
-
-    def _forget_attempt(self, entry: Entry) -> None:
-        """Removes an attempt that never began: its key is free for the request that it belongs to."""
-        key = (entry.request.product, entry.request.key)
-        self.keys[key] = [each for each in self.keys.get(key, []) if each[0] is not entry]
-
-    def _keep_result(self, entry: Entry, doc: str) -> None:
-        entry.result = doc
-        self.results[entry] = len(doc) + RESULT_OVERHEAD_BYTES
-        self.results_bytes += len(doc) + RESULT_OVERHEAD_BYTES
-        while self.results_bytes > self.max_results_bytes:
-            oldest, size = self.results.popitem(last=False)
-            self.results_bytes -= size
-            oldest.result = None  # it ran, so its repeats are voided from now on
-
     def _add_repeat(self, entry: Entry) -> None:
         """Attaches a repeat to the attempt that the brain names: since its submission, the place of one that
-        never ran may have gone to another."""
-        entry.prior = None if entry.txn.prior is None else self.keyed_entries.get(entry.txn.prior.ref)
+        never ran may have gone to another. A repeat of a repeat waits for the same run as that one."""
+        prior = entry.txn.prior
+        joined = None if prior is None else self.open.get(prior.ref)
+        if joined is not None and joined.prior is not None:
+            entry.prior = joined.prior
+        elif prior is not None:
+            entry.prior = self.attempts.get(prior, entry.request.key)
         if entry.prior is not None and entry.prior.txn.stage is not Stage.OVER:
-            entry.prior.waiting_repeats.append(entry)
+            self.waiting_repeats.setdefault(entry.prior.txn.ref, {})[entry.txn.ref] = entry
         else:
             self.ready_repeats.append(entry)
 
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -29,7 +29,6 @@
 from limeridge.configuration.application import FIXED_FOR_MEMBERS, plan_revision
 from limeridge.configuration.reading import Steps, run_turn
 from limeridge.facade import (
-    MAX_RESULTS_BYTES,
     Answer,
     AnswerKind,
     CallEnded,
@@ -136,7 +135,7 @@
             reactor,
             log,
             self.run_tick,
-            min(MAX_RESULTS_BYTES, memory_bytes // 8),
+            memory_bytes // 8,
             setup.tenants.quota,
         )
         # Descriptors: more than half for callers, and a reserve that keeps room for the link to the kernel.
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -75,9 +75,10 @@
     "peers/dissemination.py",
     "peers/share_exchange.py",
 )
-SERVICE, FACADE, CONFIG, BRAIN, NODES = (
+SERVICE, FACADE, ATTEMPTS, CONFIG, BRAIN, NODES = (
     "net/service.py",
     "facade.py",
+    "attempts.py",
     "config.py",
     "brain.py",
     "net/nodelist.py",
@@ -388,28 +389,28 @@
         "other-result",
         FACADE,
         "result = entry.prior.result if entry.prior is not None else None",
-        "result = next(iter(self.results)).result if self.results else None",
+        "result = next(iter(self.attempts.results)).result if self.attempts.results else None",
         "a repeat gets the oldest result of all",
     ),
     _m(
         "joins-lost",
         FACADE,
-        "        self.ready_repeats += entry.waiting_repeats\n",
+        "        self.ready_repeats += self.waiting_repeats.pop(entry.txn.ref, {}).values()\n",
         "",
         "repeats that joined a run are not ended with it",
     ),
     _m(
         "no-prior",
         FACADE,
-        "return next((entry for entry in attempts if entry.txn.ran), attempts[-1] if attempts else None)",
-        "return None",
+        "prior = known[0] if known else None\n",
+        "prior = None\n",
         "no repeat is known as one",
     ),
     _m(
         "ended-forgotten",
-        FACADE,
-        "or until > now - request.age_us\n",
-        "or until > now + 10**9\n",
+        ATTEMPTS,
+        "and self.kept_until > arrived_at)\n",
+        "and self.kept_until > arrived_at + 10**9)\n",
         "a repeat of a txn that is over is not known as one",
     ),
     _m(
@@ -739,24 +740,24 @@
     ),
     _m(
         "key-body-unchecked",
-        FACADE,
-        "(entry.request.doc, entry.request.customer) != (request.doc, request.customer)",
-        "entry.request.customer != request.customer",
+        ATTEMPTS,
+        "(customer, doc.encode())",
+        '(customer, b"")',
         "a key that comes with another body is taken for a repeat",
     ),
     _m(
         "key-tenant-unchecked",
-        FACADE,
-        "(entry.request.doc, entry.request.customer) != (request.doc, request.customer)",
-        "entry.request.doc != request.doc",
+        ATTEMPTS,
+        "(customer, doc.encode())",
+        "(0, doc.encode())",
         "a key that comes from another tenant is taken for a repeat",
     ),
     _m(
         "key-refused-to-owner",
         FACADE,
-        "        if self._is_key_conflict(request, now):\n",
-        "        if self._is_key_conflict(request, now) or any(each.result for each in self._known_attempts(request, now)):\n"
-        "            self.log.event('bad-message', 'key that was answered')\n",
+        "        if any(each.fingerprint != fingerprint for each in known):\n            request.answer(",
+        "        if any(each.fingerprint != fingerprint or each.result for each in known):\n"
+        "            request.answer(",
         "a repeat whose result is kept is taken for a misuse",
     ),
     _m(
@@ -807,9 +808,10 @@
     _m(
         "key-lost-to-copier",
         FACADE,
-        "        if self._is_key_conflict(request, now):\n",
-        "        if self._is_key_conflict(request, now):\n"
-        "            self.keys.pop((request.product, request.key), None)\n",
+        "        if any(each.fingerprint != fingerprint for each in known):\n            request.answer(",
+        "        if any(each.fingerprint != fingerprint for each in known):\n"
+        "            self.attempts.by_key.pop((request.product, request.key), None)\n"
+        "            request.answer(",
         "a misused key is forgotten, so that its owner's repeat is not known as one",
     ),
 )
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -21,6 +21,7 @@
 from twisted.python.failure import Failure
 
 from limeridge.config import read, reading
+from limeridge.interface import Stage
 from limeridge.net.log import Log
 from limeridge.net.service import Instance
 from limeridge.sim.bad_callers import BadCallers
@@ -1083,7 +1084,16 @@
             "strangers": max(
                 0, len(instance.callers.awaiting_first_request) - len(instance.callers.connections)
             ),
-            "keys": max(0, len(facade.keyed_entries) - max(facade.prune_at, 512)),
+            "open attempts": facade.attempts.open_count,
+            "waiting repeats": sum(map(len, facade.waiting_repeats.values())),
+            "bytes of keys": abs(
+                facade.attempts.kept_bytes - sum(each.bytes for each in facade.attempts.known())
+            ),
+            "keys past their time": sum(
+                each.txn.stage is Stage.OVER
+                and each.kept_until < facade.now() - facade.max_read_delay_us - SECOND
+                for each in facade.attempts.known()
+            ),
         }
         return ", ".join(f"{name}: {count}" for name, count in counts.items() if count)
 
--- a/limeridge/trial/soak_defects.py
+++ b/limeridge/trial/soak_defects.py
@@ -68,7 +68,8 @@
         "key-forgotten",
         SERVICE,
         "        self.facade.revise(setup.plain, setup.tenants.quota)\n",
-        "        self.facade.revise(setup.plain, setup.tenants.quota)\n        self.facade.keys.clear()\n",
+        "        self.facade.revise(setup.plain, setup.tenants.quota)\n"
+        "        self.facade.attempts.by_key.clear()\n",
         "keys are forgotten at SIGHUP",
     ),
     Mutant(
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -813,7 +813,7 @@
         net.commands()
         net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg=doc)
         net.answers(caller)
-    assert 1 << 20 < net.instance.facade.results_bytes <= 2 << 20
+    assert 1 << 20 < net.instance.facade.attempts.results_bytes <= 2 << 20
 
 
 # ---- repeats
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -1,8 +1,14 @@
 """What an instance keeps for its clients: bounded in count, bytes and time, at the cost of no rule."""
 
+import gc
+import sys
 from typing import Any
 
-from helpers import InstanceHarness
+import pytest
+from helpers import SAMPLE_CONFIG, InstanceHarness
+
+from limeridge.attempts import ATTEMPT_BYTES
+from limeridge.facade import Request
 
 DECLINED, VOIDED = -32008, -32000
 
@@ -52,3 +58,127 @@
     net.instance.callers.max_held_bytes = 0
     net.ask(caller, 2, "book", k="acct", r=1)
     assert error_codes(net, caller) == [(1, VOIDED), (2, DECLINED)]
+
+
+# ---- attempts under keys
+
+
+def live_requests() -> int:
+    """How many requests that were read are still referenced from anywhere in this process."""
+    gc.collect()
+    return sum(type(each) is Request for each in gc.get_objects())
+
+
+def end_unknown_to_kernel(net: InstanceHarness, caller: Any, number: int) -> None:
+    for command in net.commands():
+        net.tell(event="EINVAL", fate="SCHED", handle=command["handle"])
+
+
+def end_by_revoke(net: InstanceHarness, caller: Any, number: int) -> None:
+    net.send(caller, jsonrpc="2.0", method="revoke", params={"id": number})
+
+
+def end_by_due_time(net: InstanceHarness, caller: Any, number: int) -> None:
+    net.pass_time(0.05, every=0.05)
+    end_unknown_to_kernel(net, caller, number)  # a few run all the same
+
+
+@pytest.mark.parametrize("end", [end_unknown_to_kernel, end_by_revoke, end_by_due_time])
+def test_nothing_is_kept_of_keyed_requests_that_did_not_run(end: Any) -> None:
+    """Guards against a memory that grows with each keyed request of a bad client, over the limit of the
+    process: 400 requests under keys of their own, each with its body and connection."""
+    net = booted()
+    caller, before = net.caller(), live_requests()
+    if end is not end_unknown_to_kernel:
+        busy = net.caller()
+        for number in range(1, 9):
+            net.ask(busy, number, d=3_900)  # fills the cores, so that later requests are held
+        net.commands()
+    open_elsewhere = live_requests() - before
+    for number in range(1, 401):
+        net.ask(caller, number, "book", k=f"key {number}", d=60)
+        end(net, caller, number)
+        net.answers(caller)
+        if caller.stop_code or caller.end_code:
+            caller = net.caller()
+    net.pass_time(0.2)
+    assert live_requests() - before <= open_elsewhere
+    assert not list(net.instance.facade.attempts.known()) and not net.instance.facade.attempts.by_key
+    assert net.instance.facade.attempts.kept_bytes == 0
+
+
+def run_keyed(net: InstanceHarness, caller: Any, number: int, key: str, method: str = "book") -> str:
+    ref = net.ask(caller, number, method, k=key)
+    assert [command["handle"] for command in net.commands()] == [ref]
+    net.tell(event="REAP", cursor=None, handle=ref, fate="ok", lasted=5, arg=f"b25l{number:04}")
+    return ref
+
+
+def test_neither_body_nor_connection_is_kept_of_a_keyed_request_that_ran() -> None:
+    """Guards against a whole request in memory for each key within its window."""
+    net = booted()
+    caller, before = net.caller(), live_requests()
+    for number in range(1, 101):
+        run_keyed(net, caller, number, f"key {number}")
+    assert len(net.answers(caller)) == 100 and live_requests() == before
+    assert net.instance.facade.attempts.kept_count == 100
+    net.ask(caller, 101, "book", k="key 7", r=1)
+    assert net.answers(caller)[-1]["result"]["doc"] == "b25l0007"
+
+
+def test_keys_that_fill_their_memory_are_kept_and_new_ones_declined_until_they_expire() -> None:
+    """Guards against keys without a bound in bytes, and against a second run under a key that gave way."""
+    net = booted()
+    caller, attempts = net.caller(), net.instance.facade.attempts
+    attempts.max_bytes = 10 * (ATTEMPT_BYTES + sys.getsizeof("key 10")) + 50
+    for number in range(1, 11):
+        run_keyed(net, caller, number, f"key {number:2}")
+    net.ask(caller, 11, "book", k="key 11")
+    assert net.answers(caller)[-1]["error"]["code"] == DECLINED
+    assert net.log.codes("turned-away") == ["kept-keys"] and net.commands() == []
+    for number in range(1, 11):
+        net.ask(caller, 20 + number, "book", k=f"key {number:2}", r=1)
+    assert net.commands() == [], "no second run under any of them"
+    answers = {answer["id"]: answer for answer in net.answers(caller)}
+    assert all(answers[20 + number]["error"]["code"] == VOIDED for number in range(1, 10)), "results gave way"
+    net.ask(caller, 40, "look")
+    assert net.commands()[0]["entry"] == "look", "requests without a key are served as before"
+    net.pass_time(2.0 + 4.0 + 0.1, every=0.05)  # window and the longest time until a request is read
+    run_keyed(net, net.caller(), 1, "key 11")
+    assert attempts.kept_count == 1 and len(attempts.by_key) == 1
+
+
+def test_keys_of_one_class_outlast_the_read_delay_of_another() -> None:
+    """Guards against "never ran" for a repeat that arrived within its window and is read late, after many
+    requests of a class with a shorter deadline."""
+    look, book = SAMPLE_CONFIG["settings"]["classes"]
+    note = book | {"name": "note", "aim": 300_000, "deadline": 500_000}
+    settings = SAMPLE_CONFIG["settings"] | {"classes": [look, book, note]}
+    net = booted(settings=settings | {"familyInfo": settings["familyInfo"] | {"kbPerKey": 0.1}})
+    caller, begun = net.caller(), net.instance.callers.unix()
+    run_keyed(net, caller, 1, "acct")
+    net.pass_time(2.9, every=0.05)  # the window is 2 s
+    for number in range(1, 400):
+        if number % 100 == 1:
+            notes = net.caller()
+        run_keyed(net, notes, number, f"note {number}", "note")
+    net.ask(caller, 2, "book", k="acct", r=1, s=int((begun + 1.9) * 1_000))
+    assert net.commands() == [] and net.answers(caller)[-1]["result"]["doc"] == "b25l0001"
+
+
+def test_repeat_of_a_repeat_gets_the_result_of_the_run_that_both_wait_for() -> None:
+    """Guards against a repeat that waits for another one, which is taken back before the run ends."""
+    net = booted()
+    busy, caller, other = net.caller(), net.caller(), net.caller()
+    for number in range(1, 5):
+        net.ask(busy, number)
+    started = net.commands()
+    first = net.ask(caller, 1, "book", k="acct")
+    net.ask(caller, 2, "book", k="acct", r=1)
+    net.ask(other, 3, "book", k="acct", r=1)
+    net.tell(event="REAP", cursor=None, handle=started[0]["handle"], fate="ok", lasted=5, arg="eA==")
+    assert [command["handle"] for command in net.commands()] == [first]
+    net.send(caller, jsonrpc="2.0", method="revoke", params={"id": 2})
+    net.tell(event="REAP", cursor=None, handle=first, fate="ok", lasted=5, arg="b25l")
+    assert [answer["result"]["doc"] for answer in net.answers(other)] == ["b25l"]
+    assert not net.instance.facade.waiting_repeats
