Drop an answered request from the heap of due times whatever time its client named

Cause: an answered request left the heap of due times only at its top, and one open request with a nearer due time kept all those behind it. Evidence: 1,001 Txn objects alive after 1,000 such requests were answered.

limeridge/expiry.py is a heap that takes out what is settled once that may be more than half of it: at most twice what is open is kept, at a constant cost for each request. The decisions are the same: the same requests are reported in the same order.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-import heapq
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
@@ -486,7 +486,7 @@
         elif self.new_caller_seen and self._speed_factor() < 1:
             yield from self._publish_level()
         wake_needed = (
-            self.registry.due_heap
+            self.registry.due_times
             or self.backlog_stuck
             or self.advertised_capacity < 1
             or self.drain_at is not None
@@ -500,8 +500,8 @@
         check may be TICK_US away, so those that become due by then are included."""
         horizon = self.now + TICK_US + self.settings.get("round", 0)
         stopping = self.stop_at is not None and horizon >= self.stop_at - STOP_MARGIN_US
-        while (dues := self.registry.due_heap) and (stopping or dues[0][0] <= horizon or dues[0][2].answered):
-            yield from self._give_up(heapq.heappop(dues)[2])
+        for txn in self.registry.due_times.take_expired(math.inf if stopping else horizon):
+            yield from self._give_up(txn)
 
     def _give_up(self, txn: Txn, try_elsewhere: bool = False) -> Iterator[Decision]:
         """Sends the final answer of a txn that is given up, at once."""
--- a/limeridge/expiry.py
+++ b/limeridge/expiry.py
@@ -38,7 +38,7 @@
             self.entries = [entry for entry in self.entries if self.is_live(entry[2])]
             heapq.heapify(self.entries)
 
-    def take_expired(self, until: int) -> Iterator[Item]:
+    def take_expired(self, until: float) -> Iterator[Item]:
         """Removes and returns the live items that expire at `until` or before, in their order."""
         while self.entries and (self.entries[0][0] <= until or not self.is_live(self.entries[0][2])):
             item = heapq.heappop(self.entries)[2]
--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Sequence
 
+from limeridge.expiry import ExpiryHeap
 from limeridge.interface import Stage, Txn
 
 
@@ -178,7 +179,7 @@
         }
         self.memory_factors[Stage.OVER] = 0.0
         self.serial = itertools.count()
-        self.due_heap: list[tuple[int, int, Txn]] = []
+        self.due_times: ExpiryHeap[Txn] = ExpiryHeap(lambda txn: not txn.answered)
         self.key_heap: list[tuple[int, int, Txn]] = []
         self.kb_per_key = kb_per_key
 
@@ -186,7 +187,7 @@
         """Adds a new request with its memory and its due time."""
         self.stage_counts[txn.stage] += 1
         self.memory_kb += txn.size_kb * self.memory_factors[txn.stage]
-        heapq.heappush(self.due_heap, (txn.due, next(self.serial), txn))
+        self.due_times.add(txn.due, txn, self.open_txns())
 
     def remember(self, txn: Txn, until: int) -> None:
         """Remembers a request under its key until `until`, microseconds."""
@@ -221,6 +222,10 @@
         """Returns the number of runs on a core."""
         return self.stage_counts[Stage.RUNNING]
 
+    def open_txns(self) -> int:
+        """Returns the number of requests that are held, run or wait for another one."""
+        return sum(self.stage_counts.values()) - self.stage_counts[Stage.OVER]
+
     def active_runs(self) -> int:
         """Returns the number of runs that have begun and not ended, those waiting for a call included."""
         return (
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -1,14 +1,19 @@
 """What an instance keeps for its clients: bounded in count, bytes and time, at the cost of no rule."""
 
 import gc
+import random
 import sys
 from typing import Any
 
 import pytest
 from helpers import SAMPLE_CONFIG, InstanceHarness
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from limeridge.attempts import ATTEMPT_BYTES
+from limeridge.expiry import MIN_COMPACTED_SIZE, ExpiryHeap
 from limeridge.facade import Request
+from limeridge.interface import Txn
 
 DECLINED, VOIDED = -32008, -32000
 
@@ -63,10 +68,14 @@
 # ---- attempts under keys
 
 
-def live_requests() -> int:
-    """How many requests that were read are still referenced from anywhere in this process."""
+def live_objects(kind: type) -> int:
+    """How many objects of this type are still referenced from anywhere in this process."""
     gc.collect()
-    return sum(type(each) is Request for each in gc.get_objects())
+    return sum(type(each) is kind for each in gc.get_objects())
+
+
+def live_requests() -> int:
+    return live_objects(Request)
 
 
 def end_unknown_to_kernel(net: InstanceHarness, caller: Any, number: int) -> None:
@@ -153,8 +162,11 @@
     requests of a class with a shorter deadline."""
     look, book = SAMPLE_CONFIG["settings"]["classes"]
     note = book | {"name": "note", "aim": 300_000, "deadline": 500_000}
-    settings = SAMPLE_CONFIG["settings"] | {"classes": [look, book, note]}
-    net = booted(settings=settings | {"familyInfo": settings["familyInfo"] | {"kbPerKey": 0.1}})
+    sample = SAMPLE_CONFIG["settings"]
+    net = booted(
+        settings=sample
+        | {"classes": [look, book, note], "familyInfo": sample["familyInfo"] | {"kbPerKey": 0.1}}
+    )
     caller, begun = net.caller(), net.instance.callers.unix()
     run_keyed(net, caller, 1, "acct")
     net.pass_time(2.9, every=0.05)  # the window is 2 s
@@ -182,3 +194,50 @@
     net.tell(event="REAP", cursor=None, handle=first, fate="ok", lasted=5, arg="b25l")
     assert [answer["result"]["doc"] for answer in net.answers(other)] == ["b25l"]
     assert not net.instance.facade.waiting_repeats
+
+
+# ---- times of a client's choosing
+
+
+def test_answered_requests_are_not_kept_until_the_due_time_that_their_client_named() -> None:
+    """Guards against a memory that grows with each request of a client that names a wait of days, while
+    others with nearer due times are open."""
+    net = booted()
+    caller, bad, before = net.caller(), net.caller(), live_objects(Txn)
+    net.ask(caller, 1, d=3_900)
+    net.commands()
+    for number in range(1, 1_001):
+        net.ask(bad, number, d=1e9)
+        end_unknown_to_kernel(net, bad, number)
+        net.answers(bad)
+        if bad.stop_code or bad.end_code:
+            bad = net.caller()
+    assert live_objects(Txn) - before <= MIN_COMPACTED_SIZE + 2
+    assert net.instance.facade.owed() == 1
+
+
+class Settled:
+    """An item of a heap, which may be settled before its time."""
+
+    def __init__(self, expires_at: int) -> None:
+        self.expires_at, self.live = expires_at, True
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.randoms(use_true_random=False), st.integers(1, 40))
+def test_expiry_heap_reports_what_is_live_in_order_and_keeps_no_more_than_twice_as_much(
+    rng: random.Random, span: int
+) -> None:
+    heap: ExpiryHeap[Settled] = ExpiryHeap(lambda item: item.live)
+    items: list[Settled] = []
+    for now in range(150):
+        for _ in range(rng.randrange(4)):
+            items.append(Settled(now + rng.randrange(1, 1 + span**2)))
+            live = sum(item.live for item in items)
+            heap.add(items[-1].expires_at, items[-1], live)
+            assert len(heap) <= max(MIN_COMPACTED_SIZE, 2 * live)
+        for item in rng.sample(items, min(len(items), rng.randrange(4))):
+            item.live = False
+        expected = sorted((i for i in items if i.live and i.expires_at <= now), key=lambda i: i.expires_at)
+        assert list(heap.take_expired(now)) == expected
+        items = [item for item in items if item not in expected]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -592,7 +592,7 @@
     net = boot_net()
     caller = net.caller()
     net.ask(caller, 1)
-    net.instance.facade.brain.registry.due_heap.clear()
+    net.instance.facade.brain.registry.due_times.entries.clear()
     net.pass_time(3.5)
     assert single_error(net.answers(caller))["message"] == "overdue" and net.log.codes("overdue") == ["guard"]
 
