Book no memory for the key of a request that ended without a run

Callers saw requests of all classes declined for a whole window after a burst of keyed requests that the kernel did not know or that were taken back; where a key is booked with 0 kB the process kept each of them until its window's end, without a bound.

Cause: the brain freed what it books for a key only when it gave the request up itself. Evidence: 480 of 600 such requests filled 8 MB at 16 kB a key, and all 600 Txn objects were alive at 0 kB.

A request whose run never began, or whose caller took it back before its run, has its key forgotten at the next decision; WIRE 9 lets only a held try or one that ran be repeated. The heap of keys drops what was forgotten.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -196,6 +196,7 @@
             settings.get("instance.run_factor", 1.0), settings.get("instance.kb_per_key", 0.0)
         )
         self.call_waiters, self.unresolved_repeats, self.past_grace = deque[Txn](), deque[Txn](), deque[Txn]()
+        self.unused_keys = deque[Txn]()  # remembered, but ended without a run
         self.calls = Calls(
             settings.get("instance.calls_over", 5_000_000), settings.get("instance.linger", 200_000), now
         )
@@ -389,6 +390,8 @@
         if outcome == Outcome.OK:
             txn.settled = True
             product.settled_count += not txn.answered and now <= txn.sla_due
+        if outcome == Outcome.NOT_STARTED and txn.kept:
+            self.unused_keys.append(txn)
         self._finish(txn)
 
     def on_call_needed(self, now: int, txn: Txn) -> None:
@@ -442,6 +445,8 @@
         self.now = now
         txn.answered = True
         if txn.stage in (Stage.HELD, Stage.JOINED):
+            if txn.kept:
+                self.unused_keys.append(txn)
             self._finish(txn)
 
     def start_drain(self, now: int, budget: int, ago: int = 0) -> None:
@@ -471,6 +476,8 @@
             self.healthy = not self.healthy
             yield Decision(Verb.FITNESS, flag=self.healthy)
         self.registry.expire_keys(now)
+        while self.unused_keys:
+            yield from self._forget_key(self.unused_keys.popleft())
         yield from self._answer_due_txns()
         while self.past_grace:
             yield from self._give_up(self.past_grace.popleft())
@@ -530,15 +537,21 @@
                 # No other instance can help a txn that is past its SLA time.
                 flag=txn.sla_due <= self.now + TICK_US or (not try_elsewhere and self._others_are_full(txn)),
             )
-        if txn.kept and not txn.ran:
-            self.registry.forget(txn)
-            yield Decision(Verb.FORGET, txn)
+        if not txn.ran:
+            yield from self._forget_key(txn)
         if txn.stage in (Stage.HELD, Stage.JOINED):
             self._finish(txn)
         elif txn.terms.can_halt and txn.stage == Stage.RUNNING:
             # The answer is already out, so the run can be stopped, which frees its core and memory.
             yield Decision(Verb.HALT, txn)
 
+    def _forget_key(self, txn: Txn) -> Iterator[Decision]:
+        """Frees the key of a txn that ended without a run, and the memory booked for it: no repeat needs it.
+        Clients whose txns never run could otherwise fill the table of keys for a whole window."""
+        if txn.kept:
+            self.registry.forget(txn)
+            yield Decision(Verb.FORGET, txn)
+
     def _join_repeats(self) -> Iterator[Decision]:
         """Rule 2 for referenced txns: one run per key window. Repeats share its result, or wait until it is
         known whether it runs."""
--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import math
 from collections import deque
 from collections.abc import Sequence
@@ -178,9 +176,9 @@
             stage: 1.0 if stage in (Stage.HELD, Stage.JOINED) else run_factor for stage in Stage
         }
         self.memory_factors[Stage.OVER] = 0.0
-        self.serial = itertools.count()
         self.due_times: ExpiryHeap[Txn] = ExpiryHeap(lambda txn: not txn.answered)
-        self.key_heap: list[tuple[int, int, Txn]] = []
+        self.key_expiry: ExpiryHeap[Txn] = ExpiryHeap(lambda txn: txn.kept)
+        self.key_count = 0
         self.kb_per_key = kb_per_key
 
     def add(self, txn: Txn) -> None:
@@ -192,18 +190,21 @@
     def remember(self, txn: Txn, until: int) -> None:
         """Remembers a request under its key until `until`, microseconds."""
         txn.kept, txn.remembered_until = True, until
+        self.key_count += 1
         self.memory_kb += self.kb_per_key
-        heapq.heappush(self.key_heap, (until, next(self.serial), txn))
+        self.key_expiry.add(until, txn, self.key_count)
 
     def forget(self, txn: Txn) -> None:
         """Forgets the key of a request, if it is remembered."""
-        self.memory_kb -= self.kb_per_key * txn.kept
-        txn.kept = False
+        if txn.kept:
+            self.key_count -= 1
+            self.memory_kb -= self.kb_per_key
+            txn.kept = False
 
     def expire_keys(self, now: int) -> None:
         """Forgets all keys that are remembered until `now` or less."""
-        while self.key_heap and self.key_heap[0][0] <= now:
-            self.forget(heapq.heappop(self.key_heap)[2])
+        for txn in self.key_expiry.take_expired(now):
+            self.forget(txn)
 
     def move(self, txn: Txn, stage: Stage, now: int) -> None:
         """Moves a request to another stage and updates counts, memory and core time."""
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -196,6 +196,30 @@
     assert not net.instance.facade.waiting_repeats
 
 
+@pytest.mark.parametrize("kb_per_key", [0.0, 16.0])
+@pytest.mark.parametrize("end", [end_unknown_to_kernel, end_by_revoke])
+def test_no_memory_is_booked_for_the_keys_of_requests_that_did_not_run(end: Any, kb_per_key: float) -> None:
+    """Guards against a table of keys that bad clients fill for a whole window with requests that run nowhere:
+    until other requests are declined, or without a bound where no memory is booked for a key."""
+    sample = SAMPLE_CONFIG["settings"]
+    classes = [sample["classes"][0], sample["classes"][1] | {"keyTtl": 3_600_000_000}]
+    info = sample["familyInfo"] | {"kbPerKey": kb_per_key, "memoryKb": 8_192.0}
+    net = booted(settings=sample | {"classes": classes, "familyInfo": info})
+    bad, before, registry = net.caller(), live_objects(Txn), net.instance.facade.brain.registry
+    for number in range(1, 601):
+        net.ask(bad, number, "book", k=f"key {number}")
+        net.instance.facade._apply_decisions()  # runs or is held, and its key is remembered
+        end(net, bad, number)
+        net.answers(bad)
+        if bad.stop_code or bad.end_code:
+            bad = net.caller()
+    end_unknown_to_kernel(net, bad, 0)  # those that ran when they were taken back
+    net.reactor.advance(0)
+    assert live_objects(Txn) - before <= 2 * MIN_COMPACTED_SIZE and registry.memory_kb == pytest.approx(0.0)
+    ref = net.ask(net.caller(), 1, "book", k="acct")
+    assert [command["handle"] for command in net.commands()] == [ref]
+
+
 # ---- times of a client's choosing
 
 
