A request is due at its class's deadline at the latest, whatever wait its client names

Cause: the due time was what the caller said (up to 1e9 ms), while keys are kept for as long as the deadlines allow a request to be read late.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -318,13 +318,17 @@
         effort: int = 0,
     ) -> Txn:
         """Takes up a request that was read now and reached the machine `age` ago. Its caller waits for
-        `max_wait` from now; 0 means that this is not known."""
+        `max_wait` from now; 0 means that this is not known. A repeat without a `prior` is one of a request
+        that is no longer known, and may have run."""
         self.now = now
         state = self.products[product]
         terms, arrived = state.terms, now - age
         # Where each request should carry its maximum wait and this one does not, no time is left.
         wait_known = max_wait > 0 or self.settings.get("instance.passes_expiry")
-        due = now + max_wait if wait_known else max(now, arrived + terms.expiry)
+        # No client waits longer than its class's expiry: a longer wait is an error of its caller, which must
+        # not decide for how long a txn is kept.
+        latest_due = max(now, arrived + terms.expiry)
+        due = min(now + max_wait, latest_due) if wait_known else latest_due
         txn = Txn(
             ref,
             product,
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -224,7 +224,7 @@
                 size_kb=request.size_kb,
                 resent=request.resent,
                 prior=prior.txn if prior else None,
-                repeat=prior is not None,
+                repeat=prior is not None or self._is_read_too_late(request),
                 effort=request.expected_work_us,
             )
         except Exception as error:
@@ -242,7 +242,8 @@
         no attempt under its key ran, so a repeat of one that ran gets the result that is kept, or fails."""
         known = self._known_attempts(request, self.now())
         if not known:
-            return Answer(AnswerKind.DECLINED, why=why)
+            kind = AnswerKind.VOIDED if self._is_read_too_late(request) else AnswerKind.DECLINED
+            return Answer(kind, why=why)
         fingerprint = request_fingerprint(request.customer, request.doc)
         if any(each.fingerprint != fingerprint for each in known):
             return self._key_conflict_answer()
@@ -503,6 +504,11 @@
             return []
         return self.attempts.find(request.product, request.key, now - request.age_us)
 
+    def _is_read_too_late(self, request: Request) -> bool:
+        """Whether a run under the request's key may have been forgotten though the request arrived within its
+        window: it was read later than any client waits."""
+        return bool(request.key) and request.age_us > self.max_read_delay_us
+
     def _key_conflict_answer(self) -> Answer:
         """The answer to a request whose key belongs to one with another body or tenant. It is no repeat then,
         so it must not get that one's result, and it must not run under a key that is taken."""
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -240,6 +240,36 @@
     assert net.instance.facade.owed() == 1
 
 
+def test_wait_beyond_the_deadline_of_its_class_does_not_keep_a_request() -> None:
+    """Guards against a request that is open for days, as its client says and its run does not end."""
+    net = booted()
+    caller = net.caller()
+    net.ask(caller, 1, d=1e9)
+    net.ask(caller, 2, "book", k="acct", d=1e9)
+    assert len(net.commands()) == 2
+    net.pass_time(4.0, every=0.02)  # the deadline of both classes
+    assert {answer["id"] for answer in net.answers(caller)} == {1, 2} and not net.instance.facade.owed()
+    assert not net.log.codes("overdue"), "the brain answers, not the guard"
+
+
+@pytest.mark.parametrize("memory_full", [False, True])
+def test_keyed_request_that_is_read_after_its_key_was_dropped_neither_runs_nor_is_declined(
+    memory_full: bool,
+) -> None:
+    """Guards against a second run, or "never ran", for a repeat that arrived within its window and is read
+    later than any deadline, as its client names a longer wait."""
+    net = booted()
+    caller, begun = net.caller(), net.instance.callers.unix()
+    run_keyed(net, caller, 1, "acct")
+    net.answers(caller)
+    net.pass_time(2.0 + 4.0 + 0.5, every=0.05)  # window and deadline
+    assert not net.instance.facade.attempts.by_key
+    if memory_full:
+        net.instance.callers.max_held_bytes = 0
+    net.ask(caller, 2, "book", k="acct", r=1, s=int((begun + 1.5) * 1_000), d=1e9)
+    assert net.commands() == [] and error_codes(net, caller) == [(2, VOIDED)]
+
+
 class Settled:
     """An item of a heap, which may be settled before its time."""
 
