Read from a connection at a time what the memory allows for all of them

Seen by a script: 98.5 MB of 64 MB beside 384 connections of clients that send requests and take them back without a pause, in 10 s.

Cause: 64 KiB were read at a time and 16 messages handled a turn; the rest stayed in the parser, whose buffer may be twice as large, and no bound went by the memory.

The bytes read at a time are half of an eighth of the memory, divided by the connections allowed, between 2 and 64 KiB.

tests/test_kept_for_clients.py: 3.9 MB in 60 parsers where 2 MB are allowed, before; passes now.

--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -48,6 +48,8 @@
 MAX_ERROR_SCORE = 32
 MAX_CONSECUTIVE_REVOKES = 64  # without a settled txn in between
 MESSAGES_PER_ITERATION = 16  # handled for one connection before the others get their turn
+# Bytes read from one connection at a time: what is read and not handled yet stays in memory.
+MIN_READ_BYTES, MAX_READ_BYTES = 2_048, 65_536
 # One in this many connection slots may be held by connections that have not sent a valid request yet.
 AWAITING_REQUEST_DIVISOR = 4
 # A connection that was opened, active or sent a farewell within this time is not closed to make room.
@@ -336,6 +338,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = self.callers.read_bytes
         self.transport.registerProducer(self, True)
         self.callers.on_connected(self)
 
@@ -561,6 +564,7 @@
         max_connections: int,
         max_held_bytes: int,
         max_unread_bytes: int,
+        max_unhandled_bytes: int,
         max_aborts_per_iteration: int = 4,
         unix: Callable[[], float] = time.time,
     ) -> None:
@@ -571,6 +575,9 @@
             max_held_bytes,
             max_unread_bytes,
         )
+        # A parser's buffer can be twice as large as what it holds.
+        share = max_unhandled_bytes // (2 * max_connections)
+        self.read_bytes = max(MIN_READ_BYTES, min(MAX_READ_BYTES, share))
         self.held_bytes, self.unread_bytes = 0, 0
         self.connections: dict[Connection, None] = {}
         # Connections that have not sent a valid request yet, oldest first, with the time they were opened.
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -151,6 +151,7 @@
             max_aborts_per_iteration=max(1, reserved - PROCESS_DESCRIPTORS),
             max_held_bytes=memory_bytes // 8,
             max_unread_bytes=memory_bytes // 8,
+            max_unhandled_bytes=memory_bytes // 8,
             unix=unix,
         )
         self.kernel = Kernel(self, reactor, setup.kernel.host, setup.kernel.port, log)
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -10,11 +10,13 @@
 from helpers import SAMPLE_CONFIG, InstanceHarness
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loopback import stepped
 
 from limeridge.attempts import ATTEMPT_BYTES
 from limeridge.expiry import MIN_COMPACTED_SIZE, ExpiryHeap
 from limeridge.facade import Request
 from limeridge.interface import Txn
+from limeridge.net.callers import encode_frame
 
 DECLINED, VOIDED = -32008, -32000
 
@@ -101,6 +103,22 @@
     assert taken <= booked() - booked_before
 
 
+def test_bytes_read_and_not_handled_yet_stay_within_their_part_of_the_memory() -> None:
+    """Guards against a memory that grows with the connections of clients that send without a pause."""
+    with stepped(limits={"memory_mb": 16, "sockets": 128}) as s:
+        callers = [s.connect_accepted()[0] for _ in range(60)]
+        revoke = encode_frame(b'{"jsonrpc":"2.0","method":"revoke","params":{"id":9}}')  # of no open request
+        for caller in callers:
+            caller.write(750 * revoke + caller.encode_request()[0])
+        highest = 0
+        for _ in range(40):
+            s.iterate()
+            unhandled = sum(sys.getsizeof(each.frames.data) for each in s.instance.callers.connections)
+            highest = max(highest, unhandled)
+        assert 0 < highest <= (16 << 20) // 8
+        s.wait_until("an answer to each", lambda: all(caller.answers_by_id() for caller in callers))
+
+
 # ---- attempts under keys
 
 
