Deep health checks share the probe that runs, and are counted on a connection

Seen by a script: 122 MB of 64 MB and 133,916 probes of the kernel in 10 s beside 384 connections that send deep health checks without a pause.

Cause: each check started a probe with a timer and a query of its own, kept for up to half a second, and nothing bounded their number.

Checks that come while a probe runs get its result, and a connection has at most 8 checks without an answer.

tests/test_kept_for_clients.py: 14 probes where one is allowed, before; passes now.

--- a/limeridge/net/callers.py
+++ b/limeridge/net/callers.py
@@ -33,6 +33,7 @@
 MAX_BODY_BYTES = 16_384
 MAX_DOC_BYTES = 2_048
 MAX_OPEN_TXNS = 32  # on one connection
+MAX_OPEN_CHECKS = 8  # health checks without an answer on one connection
 MAX_REMEMBERED_IDS = 256  # recent request ids of a connection that are rejected when used again
 MAX_UNREAD_BYTES = 262_144  # answers buffered for a peer that does not read; room for 32 answers
 # Time for a peer to close its end after a farewell, or after the server has closed its own end of the stream.
@@ -322,6 +323,7 @@
         self.callers = callers
         self.frames = FrameParser()
         self.open_txns: dict[int, Request] = {}
+        self.open_checks = 0
         self.seen_ids: dict[int, None] = {}
         self.backlog: list[bytes] = []  # answers that the transport does not accept yet
         self.backlog_size = 0
@@ -416,10 +418,7 @@
             case TxnRequest():
                 self.receive_txn(message)
             case Heartbeat():
-                self.callers.awaiting_first_request.pop(self, None)
-                self.callers.service.check(
-                    message.deep, lambda ready: self.send_check_result(message.id, ready)
-                )
+                self.receive_check(message)
             case Revoke(number, ref):
                 if number not in self.open_txns:
                     number = next((n for n, request in self.open_txns.items() if request.ref == ref), 0)
@@ -438,6 +437,14 @@
         self.send(encode_error(None if number in self.open_txns else number, code, why, {}))
         self.add_errors(2)
 
+    def receive_check(self, message: Heartbeat) -> None:
+        if self.open_checks >= MAX_OPEN_CHECKS:
+            self.reject_message(message.id, INVALID_REQUEST, f"more than {MAX_OPEN_CHECKS} checks open")
+            return
+        self.open_checks += 1
+        self.callers.awaiting_first_request.pop(self, None)
+        self.callers.service.check(message.deep, lambda ready: self.send_check_result(message.id, ready))
+
     def receive_txn(self, message: TxnRequest) -> None:
         if message.id in self.seen_ids:
             self.reject_message(None, INVALID_REQUEST, "id used twice")
@@ -482,6 +489,7 @@
                 self.close(self.stop_code)
 
     def send_check_result(self, number: int, ready: bool) -> None:
+        self.open_checks -= 1
         result: dict[str, object] = {"ready": ready} | value_data(self.callers.service.value())
         self.send(encode_frame(orjson.dumps({"jsonrpc": "2.0", "id": number, "result": result})))
 
--- a/limeridge/net/service.py
+++ b/limeridge/net/service.py
@@ -129,6 +129,7 @@
         self.quiet_since: float | None = None
         self.ended = False
         self.jobs: dict[str, Job] = {}
+        self.waiting_checks: list[Callable[[bool], None]] = []  # deep ones, for the probe that runs
         memory_bytes = int(setup.memory_mb * (1 << 20))
         self.facade = Facade(
             setup.plain,
@@ -350,13 +351,21 @@
 
     def check(self, deep: bool, answer: Callable[[bool], None]) -> None:
         """Answers a health check from known state. A deep check runs a probe in the kernel, unless a run has
-        succeeded since the previous deep check."""
+        succeeded since the previous deep check. Checks that come while a probe runs get its result, so that
+        the work for the kernel does not grow with their number."""
         ready = self.facade.healthy and self.kernel.is_available and not self.draining
         if not deep or not ready or self.run_succeeded or not self.kernel.ready:
             self.run_succeeded = self.run_succeeded and not deep
             answer(ready)
         else:
-            self.kernel.run_deep_check(DEEP_CHECK_TIMEOUT_S).addCallback(answer)
+            self.waiting_checks.append(answer)
+            if len(self.waiting_checks) == 1:
+                self.kernel.run_deep_check(DEEP_CHECK_TIMEOUT_S).addCallback(self.finish_deep_check)
+
+    def finish_deep_check(self, succeeded: bool) -> None:
+        waiting, self.waiting_checks = self.waiting_checks, []
+        for answer in waiting:
+            self.run_guarded(partial(answer, succeeded))
 
     # ---- timers
 
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -16,7 +16,7 @@
 from limeridge.expiry import MIN_COMPACTED_SIZE, ExpiryHeap
 from limeridge.facade import Request
 from limeridge.interface import Txn
-from limeridge.net.callers import encode_frame
+from limeridge.net.callers import MAX_OPEN_CHECKS, encode_frame
 
 DECLINED, VOIDED = -32008, -32000
 
@@ -119,6 +119,26 @@
         s.wait_until("an answer to each", lambda: all(caller.answers_by_id() for caller in callers))
 
 
+def test_deep_health_checks_at_full_speed_cost_one_probe_and_a_few_places() -> None:
+    """Guards against a memory, and work of the kernel, that grow with each deep check of a bad client."""
+    net = booted()
+    checker, bad = net.caller(), net.caller()
+    net.send(checker, jsonrpc="2.0", id=1, method="heartbeat", params={"x": True})
+    for number in range(1, MAX_OPEN_CHECKS + 6):
+        net.send(bad, jsonrpc="2.0", id=number, method="heartbeat", params={"x": True})
+    [probe] = net.commands()
+    assert probe["event"] == "POST" and len(net.instance.kernel.pending_queries) == 1
+    rejected = error_codes(net, bad)
+    assert [number for number, _ in rejected] == [*range(MAX_OPEN_CHECKS + 1, MAX_OPEN_CHECKS + 6)]
+    net.tell(event="POSTED", ticket=probe["ticket"], fate="ok")
+    assert [answer["result"]["ready"] for answer in net.answers(bad)] == [True] * MAX_OPEN_CHECKS
+    assert net.answers(checker)[0]["result"]["ready"] is True
+    net.send(bad, jsonrpc="2.0", id=90, method="heartbeat", params={"x": True})
+    assert [command["event"] for command in net.commands()] == ["POST"], "the next probe is a new one"
+    net.pass_time(0.6)
+    assert net.answers(bad)[0]["result"]["ready"] is False and not net.instance.waiting_checks
+
+
 # ---- attempts under keys
 
 
