Drop requests that were taken back from their queue before they reach its front

Seen by a test while the paths beside the review's cases were looked at: 1,000 requests that were taken back at once left 1,000 Txn objects behind five that were held, for as long as the first of these waits.

Cause: a request that is over left its queue only at the front. A queue now drops what is no longer held once that may be more than half of it; what is held keeps its order, so no decision changes.

--- a/limeridge/brain.py
+++ b/limeridge/brain.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
+from limeridge.expiry import MIN_COMPACTED_SIZE
 from limeridge.histogram import Histogram
 from limeridge.interface import ClassTerms, Decision, Outcome, Stage, Txn, Verb
 from limeridge.records import CallerTable, Calls, CustomerBuckets, TxnRegistry
@@ -155,8 +156,16 @@
             return 0
         return next(i for i, approach in enumerate(self.ladder) if approach.active)
 
-    def enqueue(self, txn: Txn) -> None:
-        self.queues[2 if txn.over_share else txn.resent].append(txn)
+    def enqueue(self, txn: Txn, held_count: int) -> None:
+        """Adds a held txn to its queue. `held_count` is the number of txns held in all queues. One that is no
+        longer held stays in its queue until it is at the front; these are removed at once where there may be
+        more of them than of others, or callers could fill the memory with txns that they take back."""
+        queue = self.queues[2 if txn.over_share else txn.resent]
+        queue.append(txn)
+        if len(queue) > max(MIN_COMPACTED_SIZE, 2 * held_count):
+            held = [each for each in queue if each.stage == Stage.HELD]
+            queue.clear()
+            queue.extend(held)
 
     def typical_core_seconds(self) -> float:
         return max(0.02, self.core_times.quantile(MEDIAN)) * self.terms.sla_time / 1e6
@@ -373,7 +382,7 @@
         elif state.kind == REFERENCED:
             self.unresolved_repeats.append(txn)
         else:
-            state.enqueue(txn)
+            state.enqueue(txn, self.registry.stage_counts[Stage.HELD])
         return txn
 
     def on_run_ended(self, now: int, txn: Txn, outcome: Outcome, spent: int) -> None:
@@ -585,7 +594,7 @@
                 if lifetime > 0:
                     self.registry.remember(txn, self.now + lifetime)
                     yield Decision(Verb.MEMO, txn, us=lifetime)
-                self.products[txn.product].enqueue(txn)
+                self.products[txn.product].enqueue(txn, self.registry.stage_counts[Stage.HELD])
 
     def _shed_held_txns(self) -> Iterator[Decision]:
         """The hold rule: declines, from the front, txns that have waited past the target by an interval."""
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -344,6 +344,25 @@
     assert net.commands() == [] and error_codes(net, caller) == [(2, VOIDED)]
 
 
+def test_requests_taken_back_are_not_kept_behind_one_that_is_held() -> None:
+    """Guards against a memory that grows with requests that are taken back at once, until the request at the
+    front of their queue has waited for its time."""
+    net = booted(settings=SAMPLE_CONFIG["settings"] | {"accounts": []})  # no quotas: one queue
+    busy, bad = net.caller(), net.caller()
+    for number in range(1, 8):
+        net.ask(busy, number, t="")  # the last ones are held
+    net.commands()
+    before = live_objects(Txn)
+    for number in range(1, 1_001):
+        net.ask(bad, number, t="")
+        net.send(bad, jsonrpc="2.0", method="revoke", params={"id": number})
+        net.reactor.advance(0)
+        if bad.stop_code or bad.end_code:
+            bad = net.caller()
+    assert live_objects(Txn) - before <= 2 * MIN_COMPACTED_SIZE  # of the heap and of the queue
+    assert net.instance.facade.owed() == 7
+
+
 class Settled:
     """An item of a heap, which may be settled before its time."""
 
