Drop full token buckets, so that quotas take memory for the tenants of late

Cause: the level of each tenant's bucket was kept for good, though a full one says no more than none. The decisions are the same: 60,000 draws against buckets that are never dropped.

tests/test_kept_for_clients.py: 29,936 buckets where 4,000 are allowed, before; passes now.

--- a/limeridge/records.py
+++ b/limeridge/records.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Sequence
 
 from limeridge.expiry import ExpiryHeap
@@ -152,18 +152,38 @@
 
 
 class CustomerBuckets:
-    """A token bucket for each customer; requests beyond it exceed the customer's quota."""
+    """A token bucket for each customer; requests beyond it exceed the customer's quota.
+
+    A full bucket is as good as none, so it is dropped: at each use the two that were checked longest ago are
+    checked. What is kept is bounded by the customers of the time that a bucket takes to fill, not by all that
+    ever sent a request.
+    """
+
+    CHECKS_PER_USE = 2
+    FULL_MARGIN_US = 1_000  # after which a bucket is full whatever the rounding
 
     def __init__(self) -> None:
-        self.levels: dict[int, tuple[float, int]] = {}  # by customer: level, and the time that it is of
+        # By customer: level, the time that it is of, and the time from which it is full.
+        self.levels: OrderedDict[int, tuple[float, int, float]] = OrderedDict()
 
     def take(self, customer: int, per_s: float, depth: float, now: int) -> bool:
         """Takes one token from a customer's bucket, which fills by `per_s` a second up to `depth`. Returns
         False if it holds less than one."""
-        level, updated_at = self.levels.get(customer, (depth, now))
+        level, updated_at, _ = self.levels.pop(customer, (depth, now, 0.0))
         level = min(depth, level + per_s * (now - updated_at) / 1_000_000)
-        self.levels[customer] = level - (level >= 1), now
-        return level >= 1
+        taken = level >= 1
+        level -= taken
+        full_at = now + (depth - level) / per_s * 1_000_000 + self.FULL_MARGIN_US
+        self.levels[customer] = level, now, full_at
+        for _ in range(self.CHECKS_PER_USE):
+            self._drop_if_full(now)
+        return taken
+
+    def _drop_if_full(self, now: int) -> None:
+        if self.levels:
+            customer, bucket = self.levels.popitem(last=False)
+            if bucket[2] > now:
+                self.levels[customer] = bucket
 
 
 class TxnRegistry:
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -17,6 +17,7 @@
 from limeridge.facade import Request
 from limeridge.interface import Txn
 from limeridge.net.callers import MAX_OPEN_CHECKS, encode_frame
+from limeridge.records import CustomerBuckets
 
 DECLINED, VOIDED = -32008, -32000
 
@@ -363,6 +364,22 @@
     assert net.instance.facade.owed() == 7
 
 
+def test_quotas_take_memory_for_the_tenants_of_late_and_decide_as_if_all_were_kept() -> None:
+    """Guards against a memory that grows with each tenant that ever sent, up to all 240,000, and checks each
+    decision against buckets that are never dropped."""
+    buckets, kept, rng = CustomerBuckets(), dict[int, tuple[float, int]](), random.Random(7)
+    per_s, depth, now, highest = 2.0, 4.0, 0, 0
+    for number in range(60_000):
+        now += 1_000  # a bucket takes 2 s to fill: the customers of 2,000 requests
+        customer = number if rng.random() < 0.5 else rng.randrange(40)
+        level, updated_at = kept.get(customer, (depth, now))
+        level = min(depth, level + per_s * (now - updated_at) / 1_000_000)
+        kept[customer] = level - (level >= 1), now
+        assert buckets.take(customer, per_s, depth, now) == (level >= 1)
+        highest = max(highest, len(buckets.levels))
+    assert len(kept) > 29_000 and highest <= 2 * 2_000
+
+
 class Settled:
     """An item of a heap, which may be settled before its time."""
 
