--- a/limeridge/attempts.py
+++ b/limeridge/attempts.py
@@ -102,6 +102,8 @@
 
     def start(self, attempt: Attempt) -> None:
         """Marks the attempt as started: from now on it is kept until its time has passed."""
+        if attempt.started:
+            return
         attempts = self.by_key[attempt.txn.product, attempt.key]
         attempt.started = True
         for earlier in attempts.started[:-1]:
