Two departures of one life have ranks of their own, so that tables agree

Cause: the rank of a departure left its incarnation out, so a table kept the one that came first, and the digest, which covers the rank, was the same for both. The rank counts it now; the ranks and digests of all other claims, and of a departure of incarnation 0, are what they were.

--- a/limeridge/peers/members.py
+++ b/limeridge/peers/members.py
@@ -23,6 +23,7 @@
 from limeridge.peers.digest import claim_digest
 
 Address = tuple[str, int]  # host and port
+LEFT_RANK = 1 << 62  # added to the incarnation of a LEFT claim; above every incarnation
 RETRANSMIT_FACTOR = 3  # times log2 of the table size: how often each claim is sent (SWIM, section 4.1)
 
 
@@ -83,9 +84,11 @@
 
     @property
     def rank(self) -> tuple[Life, int, int]:
-        """Sort key of claims about the same name. LEFT ranks above every incarnation of its life."""
+        """Sort key of claims about the same name. LEFT ranks above every incarnation of its life in another
+        state; of two LEFT claims of a life the one of the higher incarnation ranks first, so that claims that
+        differ never have the same rank, nor tables that differ the same digest."""
         left = self.state is State.LEFT
-        return self.life, (1 << 62) if left else self.incarnation, int(self.state)
+        return self.life, self.incarnation + LEFT_RANK if left else self.incarnation, int(self.state)
 
     def supersedes(self, other: Claim | None) -> bool:
         """Whether this claim replaces `other`, a claim about the same name, or the absence of one."""
--- a/limeridge/sim/mutants.py
+++ b/limeridge/sim/mutants.py
@@ -626,8 +626,8 @@
     _m(
         "older-life",
         MEMBERS,
-        "return self.life, (1 << 62) if left else self.incarnation, int(self.state)",
-        "return Life(0, 0), (1 << 62) if left else self.incarnation, int(self.state)",
+        "return self.life, self.incarnation + LEFT_RANK if left else self.incarnation, int(self.state)",
+        "return Life(0, 0), self.incarnation + LEFT_RANK if left else self.incarnation, int(self.state)",
         "lives are not told apart",
     ),
     _m(
