Tell a skipped known failure from one that passed

It now reads pytest's JUnit report and prints passed, failed, skipped or not run. A test whose set-up fails counts as failed, as before.

The project that it is tried on has two tests more, which the listings name where they must pass.

--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -2,8 +2,9 @@
 
 A line of the file is `TEST | COMMAND | SEEN | issue N`, short: TEST as pytest names it, COMMAND what shows
 the failure by hand, with its seed or `no seed`, SEEN what came of it. A test stands in one line only. The
-listed tests are run too, each by itself, and how each ended is printed. It must never pass over a test that
-is not listed, nor let a line stand that lacks a part or names no test. Without the file it passes over none.
+listed tests are run too, each by itself, and how each ended is printed: passed, failed, skipped or not run.
+It must never pass over a test that is not listed, nor let a line stand that lacks a part or names no test.
+Without the file it passes over none.
 """
 
 from __future__ import annotations
@@ -11,7 +12,11 @@
 import re
 import subprocess
 import sys
+import tempfile
+from collections import Counter
+from enum import Enum
 from pathlib import Path
+from xml.etree import ElementTree
 
 FILE = "KNOWN-RED.txt"
 LONGEST = 400  # characters of a line
@@ -28,6 +33,29 @@
     return subprocess.run([sys.executable, "-m", "pytest", "-q", *words], stdout=told, stderr=told).returncode
 
 
+class Ending(Enum):
+    """How a listed test ended by itself; a skipped one shows neither that it holds nor that it fails."""
+
+    PASSED = "passed: its line may go"
+    FAILED = "failed"
+    SKIPPED = "skipped: not run"
+    NOT_RUN = "not run"
+
+
+def ending(test: str) -> Ending:
+    """Runs one test, or all cases of one, and reads pytest's JUnit report of them."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.xml"
+        code = pytest(test, f"--junitxml={report}", quiet=True)
+        if not report.exists():
+            return Ending.NOT_RUN
+        cases = list(ElementTree.parse(report).iter("testcase"))
+    outcomes = Counter(child.tag for case in cases for child in case)
+    if code or outcomes["failure"] or outcomes["error"]:
+        return Ending.FAILED if cases else Ending.NOT_RUN
+    return Ending.SKIPPED if outcomes["skipped"] else Ending.PASSED
+
+
 def listed(text: str) -> list[re.Match[str]]:
     """The entries; ValueError where the file can't be used, with the line."""
     found: list[re.Match[str]] = []
@@ -61,8 +89,10 @@
             return 1
     code = pytest(*(word for test in tests for word in ("--deselect", test)))
     for red in reds:
-        ended = "passed: its line may go" if not pytest(red["test"], quiet=True) else "failed"
-        print(f"known red: {red['test']}: {ended} (issue {red['issue']}: {red['seen']}; {red['command']})")
+        ended = ending(red["test"])
+        print(
+            f"known red: {red['test']}: {ended.value} (issue {red['issue']}: {red['seen']}; {red['command']})"
+        )
     return code
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,4 @@
-"""What `.ci/run` passes over, and what it does not: tried on a project of four tests."""
+"""What `.ci/run` passes over, and what it does not: tried on a project of a few tests."""
 
 import subprocess
 import sys
@@ -14,9 +14,15 @@
 def test_bad(): assert False
 @pytest.mark.parametrize("what", ["one way", "another"])
 def test_each(what): assert what == "another"
+@pytest.mark.skipif(True, reason="stays out")
+def test_out(): assert False
+@pytest.fixture
+def broken(): assert False
+def test_set_up(broken): pass
 """
 BAD, EACH = "tests/test_it.py::test_bad", "tests/test_it.py::test_each[one way]"
 GOOD, FINE = "tests/test_it.py::test_good", "tests/test_it.py::test_fine"
+OUT, SET_UP = "tests/test_it.py::test_out", "tests/test_it.py::test_set_up"
 
 
 SHOWN = "pytest -q tests/test_it.py, no seed"
@@ -31,14 +37,14 @@
     [
         (None, 1, "2 failed"),
         ("", 1, "2 failed"),
-        (line(BAD), 1, "1 failed"),
+        (line(BAD) + line(SET_UP), 1, "1 failed"),
         (
-            line(BAD, "the thing is broken") + line(EACH, "and this", "issue 8"),
+            line(BAD, "the thing is broken") + line(EACH, "and this", "issue 8") + line(SET_UP),
             0,
             f"known red: tests/test_it.py::test_bad: failed (issue 7: the thing is broken; {SHOWN})",
         ),
         (
-            line(BAD) + line(EACH) + line(GOOD, "was worn", "issue 9"),
+            line(BAD) + line(EACH) + line(SET_UP) + line(GOOD, "was worn", "issue 9"),
             0,
             "known red: tests/test_it.py::test_good: passed: its line may go",
         ),
@@ -60,7 +66,17 @@
             "KNOWN-RED.txt:3: tests/test_it.py::test_bad is listed",
         ),
         (line("tests/test_it.py"), 1, "KNOWN-RED.txt:1: expected"),
-        (line(BAD) + line(EACH) + line(GOOD) + line(FINE), 0, "1 passed"),
+        (line(BAD) + line(EACH) + line(SET_UP) + line(GOOD) + line(FINE), 0, "1 passed"),
+        (
+            line(BAD) + line(EACH) + line(SET_UP) + line(OUT),
+            0,
+            "known red: tests/test_it.py::test_out: skipped: not run",
+        ),
+        (
+            line(BAD) + line(EACH) + line(SET_UP),
+            0,
+            "known red: tests/test_it.py::test_set_up: failed",
+        ),
     ],
 )
 def test_just_what_is_listed_is_passed_over(text: str | None, code: int, told: str, tmp_path: Path) -> None:
