List the two new modules among those that an instance imports

tests/test_cli.py lists what `import limeridge.net.service` brings in, so that no tool slips in. Both are the instance's own; the list stays exact.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -45,6 +45,7 @@
     ours = sorted(name for name in modules if name.startswith("limeridge"))
     assert ours == [
         "limeridge",
+        "limeridge.attempts",
         "limeridge.brain",
         "limeridge.config",
         "limeridge.configuration",
@@ -53,6 +54,7 @@
         "limeridge.configuration.names",
         "limeridge.configuration.reading",
         "limeridge.configuration.tenants",
+        "limeridge.expiry",
         "limeridge.facade",
         "limeridge.histogram",
         "limeridge.interface",
