Compare the table of attempts with a list of all attempts that a key ever had

A seeded history of reads (late ones, and misuses of the key), starts, ends and runs that never began: a run that is known is always found first, nothing is found where nothing is known, what is booked is what is kept, and all is empty at the end.

--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -4,6 +4,7 @@
 import random
 import sys
 import tracemalloc
+from dataclasses import dataclass
 from typing import Any
 
 import pytest
@@ -12,14 +13,16 @@
 from hypothesis import strategies as st
 from loopback import stepped
 
-from limeridge.attempts import ATTEMPT_BYTES
+from limeridge.attempts import ATTEMPT_BYTES, Attempt, AttemptTable
+from limeridge.brain import product_terms
 from limeridge.expiry import MIN_COMPACTED_SIZE, ExpiryHeap
 from limeridge.facade import Request
-from limeridge.interface import Txn
+from limeridge.interface import Stage, Txn
 from limeridge.net.callers import MAX_OPEN_CHECKS, encode_frame
 from limeridge.records import CustomerBuckets
 
 DECLINED, VOIDED = -32008, -32000
+TERMS = product_terms({}, 0)
 
 
 def booted(**changes: Any) -> InstanceHarness:
@@ -295,6 +298,107 @@
     assert [command["handle"] for command in net.commands()] == [ref]
 
 
+@dataclass
+class KnownAttempt:
+    """An attempt as the model keeps it: for good, whatever became of it."""
+
+    attempt: Attempt
+    txn: Txn
+    started: bool = False
+    never_began: bool = False
+    kept_until: int = 0
+
+
+class AttemptModel:
+    """One key under a table of attempts, beside a list of all attempts that it ever had."""
+
+    READ_DELAY, WINDOW = 40, 25  # in steps of time
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng, self.now, self.refs = rng, 0, 0
+        self.table = AttemptTable(1 << 20, 1 << 20)
+        self.all: list[KnownAttempt] = []
+
+    def known(self, arrived_at: int) -> list[KnownAttempt]:
+        return [
+            each
+            for each in self.all
+            if each.txn.stage is not Stage.OVER
+            or (each.started and not each.never_began and each.kept_until > arrived_at)
+        ]
+
+    def read(self) -> None:
+        """Reads a request that arrived up to the read delay ago; it may be one that misuses the key."""
+        arrived_at = self.now - self.rng.randrange(self.READ_DELAY)
+        fingerprint = self.rng.choice([b"one", b"one", b"other"])
+        known, found = self.known(arrived_at), self.table.find(0, "key", arrived_at)
+        running = [each for each in known if each.started and not each.never_began]
+        assert bool(found) == bool(known)
+        assert bool(found and found[0].started) == bool(running), "a run that is known is found first"
+        if any(each.fingerprint != fingerprint for each in found):
+            assert any(each.attempt.fingerprint != fingerprint for each in known)
+            return
+        # A run under the key's earlier owner, whose window ended before, may be passed over: not by one that
+        # would run, but by a repeat of a later run.
+        if any(each.attempt.fingerprint != fingerprint for each in known):
+            assert running and found[0].fingerprint == fingerprint
+        self.refs += 1
+        txn = Txn(self.refs, 0, 0, 0, 1.0, arrived_at, self.now, 0, 0, TERMS)
+        attempt = self.table.add(txn, "key", fingerprint, self.now)
+        self.all.append(KnownAttempt(attempt, txn, kept_until=self.now))
+        others = [each for each in known if each.txn.stage is not Stage.OVER]
+        if not running and not others and self.rng.random() < 0.8:
+            self.start(self.all[-1], arrived_at)
+
+    def start(self, each: KnownAttempt, arrived_at: int) -> None:
+        if arrived_at + self.WINDOW > self.now:
+            each.kept_until = each.attempt.kept_until = arrived_at + self.WINDOW
+        each.started = True
+        each.txn.stage = Stage.RUNNING
+        self.table.start(each.attempt)
+
+    def end(self) -> None:
+        """Ends an open attempt: its run, also one that never began, or its wait."""
+        open_ones = [each for each in self.all if each.txn.stage is not Stage.OVER]
+        if not open_ones:
+            return
+        each = self.rng.choice(open_ones)
+        if each.started and self.rng.random() < 0.3:
+            each.never_began = True
+            self.table.forget(each.attempt)
+        elif each.started:
+            self.table.keep_result(each.attempt, "result")
+        each.txn.stage = Stage.OVER
+        self.table.close(each.attempt)
+
+    def check(self) -> None:
+        kept = set(self.table.known())
+        assert kept <= {each.attempt for each in self.all}
+        assert self.table.kept_bytes == sum(each.bytes for each in kept)
+        assert self.table.open_count == sum(each.txn.stage is not Stage.OVER for each in self.all)
+        assert self.table.results_bytes == sum(self.table.results.values())
+        assert set(self.table.results) <= kept
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(st.randoms(use_true_random=False))
+def test_table_of_attempts_finds_what_a_list_of_all_attempts_would(rng: random.Random) -> None:
+    """Guards against a second run, or a result for another request: each request that is read is compared
+    with all attempts that its key ever had, also those that ran long ago."""
+    model = AttemptModel(rng)
+    for _ in range(250):
+        model.now += rng.randrange(4)
+        rng.choice([model.read, model.read, model.end])()
+        model.table.expire(model.now - model.READ_DELAY)
+        model.check()
+    for each in model.all:
+        if each.txn.stage is not Stage.OVER:
+            each.txn.stage = Stage.OVER
+            model.table.close(each.attempt)
+    model.table.expire(model.now + model.WINDOW)
+    assert not model.table.by_key and not model.table.kept_bytes and not model.table.results
+
+
 # ---- times of a client's choosing
 
 
