Judge the end of a drained process on a clock that the test hands in

Forced now: with the loop held up past the deadline while the end of the last stream lies unread, the process ends by its deadline ("time-up") in the first turn, 5 ms late: timers come before reads. So a long turn explains the seen time with either ending; which it was can't be told from that run, as the verdict came before the log was looked at. Nothing is wrong in the product.

The test passes time itself, 1 ms a turn, on real sockets: the process ends less than 20 ms after the close of the last stream, where 70 ms were allowed before, whatever the machine does. With the look for a quiet period put back it fails. The forced case is a test of its own.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -265,6 +265,25 @@
             self.reactor._poller.close()
 
 
+class SteppedClock:
+    """The clock of an instance that passes time only when a test says so, whatever the machine does."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.instance: SteppedInstance | None = None
+
+    def hand_in(self, instance: SteppedInstance) -> None:
+        """Replaces the instance's clock, which goes on from where it is."""
+        self.instance, self.now = instance, instance.reactor.seconds()
+        instance.reactor.seconds = lambda: self.now
+
+    def step(self, seconds: float) -> None:
+        """Passes time and runs one iteration of the event loop."""
+        assert self.instance is not None
+        self.now += seconds
+        self.instance.iterate()
+
+
 @contextmanager
 def stepped(**changes: Any) -> Iterator[SteppedInstance]:
     """One instance, closed at the end; fails if its log has an exception or defect."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,7 +19,17 @@
 import orjson
 import pytest
 from helpers import MAX_WAIT_S, SAMPLE_CONFIG, InstanceHarness, MemoryTransport, until
-from loopback import CallerEnd, KernelEnd, RemoteEnd, address, bound_socket, free_address, stepped
+from loopback import (
+    CallerEnd,
+    KernelEnd,
+    RemoteEnd,
+    SteppedClock,
+    SteppedInstance,
+    address,
+    bound_socket,
+    free_address,
+    stepped,
+)
 from twisted.internet.error import CannotListenError, ConnectionRefusedError
 from twisted.python.failure import Failure
 
@@ -29,6 +39,7 @@
 from limeridge.net.service import (
     CLOSE_STREAMS_BEFORE_KILL_S,
     EXIT_BEFORE_KILL_S,
+    FINAL_DRAIN_CHECK_INTERVAL_S,
     LISTEN_RETRY_S,
     MAX_LISTEN_RETRIES,
 )
@@ -998,18 +1009,44 @@
         assert ended and EXIT_BEFORE_KILL_S - 0.002 <= kill_at - ended[0] <= EXIT_BEFORE_KILL_S + 0.002
 
 
+def drain_until_the_stream_ends(s: SteppedInstance, clock: SteppedClock) -> CallerEnd:
+    """A caller of a draining instance that has seen the end of its stream, and has not closed its own yet."""
+    caller, _ = s.connect_accepted()
+    s.serve_request(caller)
+    clock.hand_in(s)
+    s.instance.start_drain()
+    while not caller.read_available().end:
+        clock.step(0.001)
+        assert clock.now < s.instance.kill_at - EXIT_BEFORE_KILL_S
+    return caller
+
+
 def test_process_exits_once_all_streams_have_ended() -> None:
+    """Guards against a drained process that waits for its time. The clock is the test's own, so that a busy
+    machine changes nothing: a form that read the machine's clock failed once beside other load."""
+    clock = SteppedClock()
     with stepped(stop_ms=1_000) as s:
-        caller, _ = s.connect_accepted()
-        s.serve_request(caller)
-        s.instance.start_drain()
-        s.wait_until("the end of the stream", lambda: caller.read_available().end)
+        caller = drain_until_the_stream_ends(s, clock)
         caller.close()
-        s.wait_until("the process's own end", lambda: s.stopped)
-        assert s.reactor.seconds() < s.instance.kill_at - EXIT_BEFORE_KILL_S
+        closed_at = clock.now
+        while not s.stopped:
+            clock.step(0.001)
+            assert clock.now - closed_at < 2 * FINAL_DRAIN_CHECK_INTERVAL_S
         assert s.log.codes("drain")[-1] == "done"
 
 
+def test_process_held_up_past_its_deadline_exits_at_the_first_turn() -> None:
+    """The end of the last stream lies unread while the event loop is held up, until the process should have
+    exited: its timers come first, so it exits by the deadline and not for the end of the stream."""
+    clock = SteppedClock()
+    with stepped(stop_ms=1_000) as s:
+        caller = drain_until_the_stream_ends(s, clock)
+        caller.close()
+        clock.step(s.instance.kill_at - EXIT_BEFORE_KILL_S + 0.005 - clock.now)
+        clock.step(0.0)
+        assert s.stopped and s.log.codes("drain")[-1] == "time-up" and not s.instance.facade.owed()
+
+
 def test_kill_time_counts_from_the_signal() -> None:
     """The signal handler runs within an iteration of the event loop, the drain starts in the next one."""
     net = InstanceHarness()
