Keep a key for the read delay of its own class, as it is in force

A deployment with one class of a deadline of an hour would have kept the keys of all its classes for an hour after their windows, since the table of attempts took the longest deadline of all.

A repeat has the class of its key, so the class's own deadline covers late reading. An attempt whose class has got a longer deadline since it ended is kept on.

tests/test_kept_for_clients.py: one key kept where none is allowed, before; passes now.

--- a/limeridge/attempts.py
+++ b/limeridge/attempts.py
@@ -13,7 +13,7 @@
 import hashlib
 import sys
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from limeridge.expiry import ExpiryHeap
@@ -56,8 +56,10 @@
 class AttemptTable:
     """All known attempts of an instance, by the product's number and the key."""
 
-    def __init__(self, max_bytes: int, max_results_bytes: int) -> None:
+    def __init__(self, max_bytes: int, max_results_bytes: int, read_delay: Callable[[int], int]) -> None:
+        """`read_delay` gives the longest time, by product, from a request's arrival until it is read."""
         self.max_bytes, self.max_results_bytes = max_bytes, max_results_bytes
+        self.read_delay = read_delay
         self.by_key: dict[tuple[int, str], KeyAttempts] = {}
         self.open_count = 0
         self.kept_count = 0  # started, over and not forgotten
@@ -126,7 +128,7 @@
         self.open_count -= 1
         if attempt.started and not attempt.forgotten:
             self.kept_count += 1
-            self.expiry.add(attempt.kept_until, attempt, self.kept_count)
+            self.expiry.add(self._expires_at(attempt), attempt, self.kept_count)
         else:
             self.kept_bytes -= attempt.bytes
             self._drop_if_empty(attempt)
@@ -145,10 +147,17 @@
             self.kept_bytes -= attempt.bytes
             self._drop_if_empty(attempt)
 
-    def expire(self, until: int) -> None:
-        """Drops the attempts that are over and are kept until `until` at the latest."""
-        for attempt in self.expiry.take_expired(until):
-            self.forget(attempt)
+    def expire(self, now: int) -> None:
+        """Drops the attempts that are over and that no request read from now on can repeat. The read delay
+        may have grown since they ended."""
+        for attempt in list(self.expiry.take_expired(now)):
+            if (expires_at := self._expires_at(attempt)) > now:
+                self.expiry.add(expires_at, attempt, self.kept_count)
+            else:
+                self.forget(attempt)
+
+    def _expires_at(self, attempt: Attempt) -> int:
+        return attempt.kept_until + self.read_delay(attempt.txn.product)
 
     def _drop_if_empty(self, attempt: Attempt) -> None:
         key = attempt.txn.product, attempt.key
--- a/limeridge/facade.py
+++ b/limeridge/facade.py
@@ -174,7 +174,7 @@
         self.last_ref = 0
         self.open: dict[int, Entry] = {}
         self.by_ref: dict[str, Entry] = {}
-        self.attempts = AttemptTable(max_kept_bytes, MAX_RESULTS_BYTES)
+        self.attempts = AttemptTable(max_kept_bytes, MAX_RESULTS_BYTES, self.max_read_delay_us)
         self.timer: Any = None  # for the wake-up that the brain asked for last
         self.applying_decisions = False
         self.decision_timer: Any = None  # pending call of `_apply_decisions`
@@ -182,8 +182,8 @@
         # Repeats that wait for the run of a txn, by its ref and by their own, and those whose run has ended.
         self.waiting_repeats: dict[int, dict[int, Entry]] = {}
         self.ready_repeats: list[Entry] = []
-        self.max_read_delay_us = 0  # from a txn's arrival until it is read
-        self._update_max_read_delay()
+        self.max_read_delays_us: dict[int, int] = {}  # by product
+        self._update_max_read_delays()
         self.brain = Brain(self.settings, seed, self.now(), quotas)
         self._apply_decisions()
 
@@ -324,20 +324,24 @@
         if idle != int(self.settings.get("instance.idle", 0)):
             self.idle_limit = idle
         self.settings = dict(settings)
-        self._update_max_read_delay()
+        self._update_max_read_delays()
 
-    def _update_max_read_delay(self) -> None:
-        """Keeps the maximum over all products and revisions: a txn that arrived under an earlier one may
-        still be read as late as that one allows."""
+    def _update_max_read_delays(self) -> None:
+        """Keeps the maximum over all revisions: a txn that arrived under an earlier one may still be read as
+        late as that one allows."""
         for product in range(int(self.settings.get("products.count", 0))):
             expiry = int(self.settings.get(f"products.{product}.expiry", 0))
-            self.max_read_delay_us = max(self.max_read_delay_us, expiry)
+            self.max_read_delays_us[product] = max(self.max_read_delay_us(product), expiry)
+
+    def max_read_delay_us(self, product: int) -> int:
+        """Returns the longest time from the arrival of a txn of this product until it is read."""
+        return self.max_read_delays_us.get(product, 0)
 
     def guard(self) -> None:
         """Answers txns that the brain has lost, once they are past their due time. Ticks the brain first,
         since after a pause of the machine this may run before the brain's own wake-up."""
         now = self.now()
-        self.attempts.expire(now - self.max_read_delay_us)
+        self.attempts.expire(now)
         overdue = [e for e in self.open.values() if not e.answered and e.txn.due < now - OVERDUE_MARGIN_US]
         if overdue:
             self.tick(now, None)
@@ -507,7 +511,7 @@
     def _is_read_too_late(self, request: Request) -> bool:
         """Whether a run under the request's key may have been forgotten though the request arrived within its
         window: it was read later than any client waits."""
-        return bool(request.key) and request.age_us > self.max_read_delay_us
+        return bool(request.key) and request.age_us > self.max_read_delay_us(request.product)
 
     def _key_conflict_answer(self) -> Answer:
         """The answer to a request whose key belongs to one with another body or tenant. It is no repeat then,
--- a/limeridge/sim/world.py
+++ b/limeridge/sim/world.py
@@ -1091,7 +1091,7 @@
             ),
             "keys past their time": sum(
                 each.txn.stage is Stage.OVER
-                and each.kept_until < facade.now() - facade.max_read_delay_us - SECOND
+                and each.kept_until < facade.now() - facade.max_read_delay_us(each.txn.product) - SECOND
                 for each in facade.attempts.known()
             ),
         }
--- a/tests/test_kept_for_clients.py
+++ b/tests/test_kept_for_clients.py
@@ -256,6 +256,28 @@
     assert net.commands() == [] and net.answers(caller)[-1]["result"]["doc"] == "b25l0001"
 
 
+def test_keys_are_kept_for_the_read_delay_of_their_own_class_as_it_is_now() -> None:
+    """Guards against keys that fill their memory since another class has a deadline of an hour, and against
+    keys dropped too soon where a new revision has a longer one."""
+    look, book = SAMPLE_CONFIG["settings"]["classes"]
+    changed = SAMPLE_CONFIG["settings"] | {"classes": [look | {"deadline": 3_600_000_000}, book]}
+    net = booted(settings=changed)
+    facade = net.instance.facade
+    run_keyed(net, net.caller(), 1, "acct")
+    net.pass_time(2.0 + 3.9, every=0.05)  # window and deadline
+    assert facade.attempts.kept_count == 1
+    net.pass_time(0.2, every=0.05)
+    assert facade.attempts.kept_count == 0
+    run_keyed(net, net.caller(), 1, "acct")
+    net.pass_time(2.0, every=0.05)
+    net.file |= {"settings": changed | {"classes": [look, book | {"deadline": 6_000_000}]}}
+    net.instance.reload()
+    net.pass_time(5.9, every=0.05)
+    assert net.log.codes("reload") == ["taken"] and facade.attempts.kept_count == 1
+    net.pass_time(0.2, every=0.05)
+    assert facade.attempts.kept_count == 0
+
+
 def test_repeat_of_a_repeat_gets_the_result_of_the_run_that_both_wait_for() -> None:
     """Guards against a repeat that waits for another one, which is taken back before the run ends."""
     net = booted()
@@ -316,7 +338,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.rng, self.now, self.refs = rng, 0, 0
-        self.table = AttemptTable(1 << 20, 1 << 20)
+        self.table = AttemptTable(1 << 20, 1 << 20, lambda product: self.READ_DELAY)
         self.all: list[KnownAttempt] = []
 
     def known(self, arrived_at: int) -> list[KnownAttempt]:
@@ -389,13 +411,13 @@
     for _ in range(250):
         model.now += rng.randrange(4)
         rng.choice([model.read, model.read, model.end])()
-        model.table.expire(model.now - model.READ_DELAY)
+        model.table.expire(model.now)
         model.check()
     for each in model.all:
         if each.txn.stage is not Stage.OVER:
             each.txn.stage = Stage.OVER
             model.table.close(each.attempt)
-    model.table.expire(model.now + model.WINDOW)
+    model.table.expire(model.now + model.WINDOW + model.READ_DELAY)
     assert not model.table.by_key and not model.table.kept_bytes and not model.table.results
 
 
