--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -321,8 +321,10 @@
 class Stage:
     """The platform of one service instance, and the instance itself."""
 
-    def __init__(self, folder: Path, classes: list[dict[str, Any]], cores: int = 4) -> None:
-        self.record, self.classes, self.cores = Record(folder), classes, cores
+    def __init__(
+        self, folder: Path, classes: list[dict[str, Any]], cores: int = 4, record: Record | None = None
+    ) -> None:
+        self.record, self.classes, self.cores = record or Record(folder), classes, cores
         self.tries: dict[str, Try] = {}
         self.kernel, self.records = Kernel(self), Records(self)
         self.folder = Path(tempfile.mkdtemp(prefix="review-2-"))
