--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -62,6 +62,7 @@
         self.end = ""  # how its connection ended before an answer
         self.ended_at = 0.0
         self.revoked = False
+        self.settled = asyncio.Event()  # it has an answer, or its connection ended
 
     @property
     def over(self) -> bool:
@@ -228,45 +229,48 @@
         writer.close()
 
 
-class Connection:
-    """One connection of a client stub."""
+class Connection(asyncio.Protocol):
+    """One connection of a client stub. What came before a reset is read before the reset counts."""
 
     def __init__(self, stage: Stage, number: int) -> None:
         self.stage, self.number = stage, number
         self.open: dict[int, Try] = {}
-        self.last_id = 0
+        self.last_id = self.answered = 0
         self.farewell = False
         self.closed_at = 0.0
-        self.reader: Any = None
-        self.writer: Any = None
-        self.task: Any = None
+        self.data = b""
+        self.transport: Any = None
 
     @property
     def usable(self) -> bool:
         return not self.closed_at and not self.farewell and len(self.open) < MAX_OPEN
 
     async def connect(self) -> Connection:
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.stage.port)
-        self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.task = asyncio.ensure_future(self.listen())
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(lambda: self, "127.0.0.1", self.stage.port)
         return self
 
-    async def listen(self) -> None:
-        end = "closed"
-        try:
-            while True:
-                head = await self.reader.readuntil(b"\r\n\r\n")
-                self.take(json.loads(await self.reader.readexactly(int(head.split(b":")[1]))))
-        except ConnectionError:
-            end = "reset"
-        except asyncio.IncompleteReadError:
-            pass
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        while (end := self.data.find(b"\r\n\r\n")) >= 0:
+            size = end + 4 + int(self.data[:end].split(b":")[1])
+            if len(self.data) < size:
+                return
+            body, self.data = self.data[end + 4 : size], self.data[size:]
+            self.take(json.loads(body))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        end = "closed" if error is None else "reset"
         self.closed_at = time.time()
         self.stage.record.line("connection-end", conn=self.number, how=end, open=len(self.open))
         for attempt in self.open.values():
             attempt.end, attempt.ended_at = end, self.closed_at
+            attempt.settled.set()
         self.open.clear()
-        self.writer.close()
 
     def take(self, message: dict[str, Any]) -> None:
         if message.get("method") == "farewell":
@@ -277,9 +281,11 @@
             kind = "served" if error is None else "refused" if error["code"] == REFUSED_CODE else "failed"
             text = message["result"]["doc"] if error is None else error["message"]
             attempt.answers.append((time.time(), kind, text))
+            attempt.settled.set()
+            self.answered += 1
             self.stage.record.line("answer", ref=attempt.ref, key=attempt.key or "-", kind=kind)
         if self.farewell and not self.open:
-            self.writer.close()
+            self.transport.close()
 
     def send(self, attempt: Try) -> None:
         self.last_id += 1
@@ -315,7 +321,7 @@
 
     def write(self, message: dict[str, Any]) -> None:
         body = json.dumps(message).encode()
-        self.writer.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+        self.transport.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
 class Stage:
